--- /dev/null
+++ b/crates/yucca-task/src/lib.rs
@@ -0,0 +1,3 @@
+//! Tasks of the workspace that contributors run by hand and CI runs as checks.
+
+pub mod border;
--- /dev/null
+++ b/crates/yucca-wire/src/lib.rs
@@ -0,0 +1,25 @@
+//! The types that cross the borders between yuccahill's processes, callers, targets and operators.
+//!
+//! Border types that outsiders write are generated from `schema/` ([`announce`], [`ticket`]);
+//! those between our own processes are written here and encoded by [`codec`].
+
+#[allow(missing_docs, clippy::all, clippy::pedantic, clippy::unwrap_used)]
+mod generated {
+    #[rustfmt::skip]
+    pub mod announce;
+    #[rustfmt::skip]
+    pub mod ticket;
+}
+
+pub mod auth;
+pub mod codec;
+pub mod grant;
+pub mod head;
+pub mod id;
+pub mod key;
+pub mod problem;
+pub mod report;
+pub mod table;
+pub mod unit;
+
+pub use generated::{announce, ticket};
--- /dev/null
+++ b/crates/yucca-wire/src/report.rs
@@ -0,0 +1,87 @@
+//! What entry processes and control processes tell each other.
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+
+use crate::announce;
+use crate::id;
+use crate::table;
+
+/// The path on which a control process hears entry processes.
+pub const PATH: &str = "/control/report";
+
+/// A heartbeat of an entry process to a control process of its domain.
+///
+/// The answer, an [`Update`], is held back until there is news or the heartbeat interval ends.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// The host that reports.
+    pub host: id::Host,
+    /// Rises with each start of the process.
+    pub incarnation: u64,
+    /// The global version in force at the host.
+    pub global: id::Version,
+    /// The domain versions in force at the host.
+    pub locals: IndexMap<id::Domain, id::Version>,
+    /// The heartbeats of targets that the host heard since the last report.
+    pub announced: Vec<announce::Announce>,
+    /// What the host's lanes saw.
+    pub lanes: IndexMap<id::Target, Lane>,
+    /// Whether the process is stopping and wants its lanes handed over.
+    pub stopping: bool,
+}
+
+/// What a lane saw since the last report.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Lane {
+    /// The fencing token of the lane that reports.
+    pub token: id::Token,
+    /// Whether the target answers, as far as the lane can tell over new connections.
+    pub alive: bool,
+    /// Shards whose in-flight work ended and whose grant the target gave back, or that no longer
+    /// can reach the target.
+    pub released: Vec<Release>,
+    /// The standby that has a whole copy of the ledger, where one has.
+    pub copied: Option<id::Host>,
+    /// The work done, in slot-microseconds, by shard.
+    pub work: IndexMap<id::Shard, u64>,
+    /// The work done for the hottest keys, in slot-microseconds.
+    pub hot: IndexMap<Bytes, u64>,
+}
+
+/// What a lane no longer sends to its target.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The shard, or the shard of the key.
+    pub shard: id::Shard,
+    /// The key, where a pin is released.
+    pub key: Option<Bytes>,
+    /// The fencing token of the grant that ended.
+    pub token: id::Token,
+}
+
+/// The answer to a report: the parts of the table that are newer than those reported.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Update {
+    /// The global part, where newer.
+    pub global: Option<Change<table::Global>>,
+    /// The domains' parts that are newer.
+    pub locals: Vec<Change<table::Local>>,
+}
+
+/// A change to a part of the table.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Change<T> {
+    /// The whole part.
+    Snapshot(T),
+    /// What differs from the reported version, as encoded by the part's owner.
+    Delta {
+        /// The version to which it applies.
+        from: id::Version,
+        /// The changed entries: the part with only those entries that changed.
+        changed: T,
+        /// The paths of the entries that went away.
+        removed: Vec<String>,
+    },
+}
