--- /dev/null
+++ b/crates/yucca-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Under construction; see `docs/design/`.
--- a/crates/yucca-wire/src/lib.rs
+++ b/crates/yucca-wire/src/lib.rs
@@ -13,6 +13,7 @@
 
 pub mod auth;
 pub mod codec;
+pub mod finding;
 pub mod grant;
 pub mod head;
 pub mod id;
