Lane: decisions for one target, sans-IO

The one sender of work to a target: exact slots, short and long classes, bounded queues by deadline, early refusal, cancellation, answers, retries, ledger with a standby's leave, moves, takeover and handover.

For those who drive it: - Arrive carries `caller`, the process's handle of one exchange; Cancel, Send, Refuse, Deliver, Replay and Forward name it, as two arrivals may have one id. - Leave and NoLeave carry `seq` of the asked entry; NoLeave a Reason. - Headed tells that the answer's head arrived (Deliver comes then, and the slot stays taken); Answered tells that the attempt ended. Without Headed, Deliver comes with Answered. Each Send must end in exactly one Answered, also after Abort. - CopyAll gives the standby the whole ledger; Copied{number} confirms it. Settle tells standby or follower how a request ended and may be lost. - Owners(Change): Grant, Hold, Resume, Release.

Estimates, retries, moves, standby and takeover have no tests yet.

--- /dev/null
+++ b/crates/yucca-lane/src/estimate.rs
@@ -0,0 +1,47 @@
+//! Online estimates of service times.
+
+use std::time::Duration;
+
+/// How much a new sample weighs in the mean.
+const MEAN_WEIGHT: f64 = 1.0 / 16.0;
+
+/// How much a new sample weighs in the deviation.
+const DEVIATION_WEIGHT: f64 = 1.0 / 16.0;
+
+/// How many samples make an estimate; with fewer there is none.
+const ENOUGH_SAMPLES: u32 = 8;
+
+/// The mean service time of a work class and its mean absolute deviation.
+///
+/// With few samples it gives no estimate, so that a cold lane refuses nothing by it.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Estimate {
+    mean: f64,
+    deviation: f64,
+    samples: u32,
+}
+
+impl Estimate {
+    /// Takes in a measured service time.
+    pub fn sample(&mut self, time: Duration) {
+        let seconds = time.as_secs_f64();
+        self.samples = self.samples.saturating_add(1);
+        let warming = 1.0 / f64::from(self.samples);
+        let error = seconds - self.mean;
+        self.mean += error * warming.max(MEAN_WEIGHT);
+        self.deviation += (error.abs() - self.deviation) * warming.max(DEVIATION_WEIGHT);
+    }
+
+    /// Returns the mean service time, once there are enough samples.
+    pub fn mean(&self) -> Option<Duration> {
+        let enough = self.samples >= ENOUGH_SAMPLES;
+        enough.then(|| Duration::from_secs_f64(self.mean.max(0.0)))
+    }
+
+    /// Returns the mean plus so many deviations, once there are enough samples.
+    pub fn upper(&self, deviations: f64) -> Option<Duration> {
+        let seconds = self.mean + deviations * self.deviation;
+        let enough = self.samples >= ENOUGH_SAMPLES;
+        enough.then(|| Duration::from_secs_f64(seconds.max(0.0)))
+    }
+}
--- /dev/null
+++ b/crates/yucca-lane/src/lane/admit.rs
@@ -0,0 +1,225 @@
+//! How a request enters the lane.
+
+use yucca_wire::id;
+use yucca_wire::problem;
+use yucca_wire::table;
+
+use super::{Lane, Output, Place};
+use crate::evidence;
+use crate::ledger;
+use crate::owners;
+use crate::queue;
+use crate::request;
+
+/// The most arrivals that wait for the answer of one running request.
+const MAX_ATTACHED: usize = 8;
+
+impl Lane {
+    pub(super) fn arrive(&mut self, arrival: request::Arrival) {
+        if self.requests.contains_key(&arrival.id) {
+            return self.attach(arrival);
+        }
+        if let Some(entry) = self.ledger.get(arrival.id) {
+            return self.replay(&arrival, &entry);
+        }
+        if let Some(host) = self.handed_to.clone() {
+            return self.out.push(Output::Forward {
+                id: arrival.id,
+                caller: arrival.caller,
+                to: Place::Host(host),
+            });
+        }
+        if self.is_blind_to(&arrival) {
+            return self.out.push(Output::Replay {
+                id: arrival.id,
+                caller: arrival.caller,
+                kept: request::Kept::Unknown,
+            });
+        }
+        if let Some(problem) = self.objection(&arrival) {
+            return self.refuse(arrival.id, arrival.caller, problem);
+        }
+        if self.is_held(&arrival) {
+            return self.admit_held(arrival);
+        }
+        match self.make_room(&arrival) {
+            Ok(()) => self.admit(arrival, request::Phase::Queued),
+            Err(problem) => self.refuse(arrival.id, arrival.caller, problem),
+        }
+    }
+
+    /// Puts a request into the queue of its phase.
+    pub(super) fn admit(&mut self, arrival: request::Arrival, phase: request::Phase) {
+        let id = arrival.id;
+        self.next_order += 1;
+        self.waiting_bytes += arrival.bytes;
+        self.waiting_ledger += usize::from(!arrival.idempotent);
+        let active = request::Active {
+            awaited: true,
+            order: self.next_order,
+            attempts: 0,
+            phase,
+            leave: request::Leave::None,
+            attached: Vec::new(),
+            arrival,
+        };
+        let entry = queue_entry(&active);
+        let class = active.arrival.class;
+        self.requests.insert(id, active);
+        match phase {
+            request::Phase::Held => self.held.insert(entry),
+            _ => self.queue_of(class).insert(entry),
+        }
+    }
+
+    /// Answers a caller in the target's place.
+    pub(super) fn refuse(
+        &mut self,
+        id: id::Request,
+        caller: request::Caller,
+        problem: problem::Problem,
+    ) {
+        self.out.push(Output::Refuse {
+            id,
+            caller,
+            problem,
+        });
+    }
+
+    /// Tells whether a request must wait for the end of a move.
+    pub(super) fn is_held(&self, arrival: &request::Arrival) -> bool {
+        if !self.config.keyed {
+            return false;
+        }
+        let state = self.owner_state(arrival);
+        let moving = matches!(state, Some(owners::State::Moving | owners::State::Released));
+        moving || self.is_drained()
+    }
+
+    fn owner_state(&self, arrival: &request::Arrival) -> Option<owners::State> {
+        let shard = arrival.shard?;
+        self.owners.state(shard, arrival.key.as_ref())
+    }
+
+    fn attach(&mut self, arrival: request::Arrival) {
+        let id = arrival.id;
+        let caller = arrival.caller;
+        let Some(active) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if active.arrival.fingerprint != arrival.fingerprint {
+            return self.refuse_reused(id, caller);
+        }
+        let headed = active.attempt().is_some_and(|attempt| attempt.headed);
+        if !active.awaited && !headed {
+            active.awaited = true;
+            active.arrival.caller = caller;
+            active.arrival.deadline = arrival.deadline;
+            return;
+        }
+        let room = self
+            .config
+            .limits
+            .queue_bytes
+            .0
+            .saturating_sub(self.waiting_bytes);
+        if active.attached.len() >= MAX_ATTACHED || arrival.bytes > room {
+            let detail = format!("request {id} is already waiting or running for other callers");
+            let problem = problem::Problem::unknown(problem::Kind::AlreadyAccepted, detail);
+            return self.refuse(id, caller, problem);
+        }
+        self.waiting_bytes += arrival.bytes;
+        active.attached.push(arrival);
+    }
+
+    fn replay(&mut self, arrival: &request::Arrival, entry: &ledger::Entry) {
+        if entry.fingerprint != arrival.fingerprint {
+            return self.refuse_reused(arrival.id, arrival.caller);
+        }
+        let kept = match entry.state {
+            ledger::State::Answered(status) => request::Kept::Answered(status),
+            _ => request::Kept::Unknown,
+        };
+        self.out.push(Output::Replay {
+            id: arrival.id,
+            caller: arrival.caller,
+            kept,
+        });
+    }
+
+    fn refuse_reused(&mut self, id: id::Request, caller: request::Caller) {
+        let detail = format!("request id {id} was used with other content");
+        let problem = problem::Problem::not_run(problem::Kind::IdReused, detail);
+        self.refuse(id, caller, problem);
+    }
+
+    /// Tells whether an earlier lane may have sent the request without this lane's knowledge.
+    fn is_blind_to(&self, arrival: &request::Arrival) -> bool {
+        if arrival.idempotent || !arrival.resent || self.blind.is_empty() {
+            return false;
+        }
+        self.blind.contains_key(&None) || self.blind.contains_key(&arrival.shard)
+    }
+
+    /// Tells why a request cannot even wait here.
+    fn objection(&self, arrival: &request::Arrival) -> Option<problem::Problem> {
+        let target = &self.config.target;
+        if self.superseded {
+            let detail = format!("the lane of {target} moved to another host");
+            return Some(problem::Problem::not_run(problem::Kind::Stopping, detail));
+        }
+        if arrival.deadline <= self.now {
+            let detail = format!("the deadline passed before {target} could be asked");
+            let kind = problem::Kind::DeadlineExceeded;
+            return Some(problem::Problem::not_run(kind, detail));
+        }
+        let away = matches!(self.owner_state(arrival), None | Some(owners::State::Away));
+        if self.config.keyed && away {
+            let detail = format!("{target} does not own the key");
+            return Some(problem::Problem::not_run(problem::Kind::NoOwner, detail));
+        }
+        if !self.config.keyed && self.drained_at.is_some() {
+            let detail = format!("{target} is draining");
+            return Some(problem::Problem::not_run(problem::Kind::NoOwner, detail));
+        }
+        let silent = self.evidence.state() == evidence::State::Silent;
+        if !self.config.keyed && silent {
+            let detail = format!("{target} does not answer new connections");
+            return Some(problem::Problem::not_run(problem::Kind::NoOwner, detail));
+        }
+        if !arrival.idempotent && self.waiting_ledger >= self.ledger.room() {
+            let detail = format!(
+                "the ledger of {target} is full with {} requests",
+                self.ledger.len()
+            );
+            let kind = problem::Kind::QueueFull;
+            return Some(problem::Problem::not_run(kind, detail));
+        }
+        None
+    }
+
+    fn admit_held(&mut self, arrival: request::Arrival) {
+        match self.make_space(&arrival) {
+            Ok(()) => self.admit(arrival, request::Phase::Held),
+            Err(problem) => self.refuse(arrival.id, arrival.caller, problem),
+        }
+    }
+}
+
+/// Returns the place of a request in the queue of its class or among the held.
+pub(super) fn queue_entry(active: &request::Active) -> queue::Entry {
+    queue::Entry {
+        due: active.arrival.deadline,
+        order: active.order,
+        id: active.arrival.id,
+    }
+}
+
+/// Tells how readily a request is shed: the lowest goes first.
+pub(super) fn rank(arrival: &request::Arrival) -> u8 {
+    match (arrival.idempotent, arrival.class) {
+        (true, table::Class::Long) => 0,
+        (true, table::Class::Short) => 1,
+        (false, _) => 2,
+    }
+}
--- /dev/null
+++ b/crates/yucca-lane/src/lane/dispatch.rs
@@ -0,0 +1,152 @@
+//! The choice of what is sent next.
+
+use std::time::Duration;
+
+use yucca_wire::id;
+use yucca_wire::table;
+
+use super::{Lane, Output};
+use crate::queue;
+use crate::request;
+
+/// How many waiting requests are looked at for one that may be sent.
+const LOOKAHEAD: usize = 16;
+
+/// The assumed service time of long work before any was measured.
+const COLD_LONG_TIME: Duration = Duration::from_secs(1);
+
+/// How many deviations above the mean long work is assumed to take when its start is timed.
+const URGENT_DEVIATIONS: f64 = 3.0;
+
+impl Lane {
+    /// Sends what has a slot.
+    pub(super) fn dispatch(&mut self) {
+        self.copy_ledger();
+        if !self.may_send() {
+            return;
+        }
+        self.ask_leave();
+        while let Some(id) = self.next_to_send() {
+            self.send(id);
+        }
+    }
+
+    /// Returns when the first long request must start to end by its deadline.
+    pub(super) fn urgent_at(&self) -> Option<Duration> {
+        let first = self.long.first()?;
+        let at = first.due.saturating_sub(self.long_lead());
+        (at > self.now).then_some(at)
+    }
+
+    /// Short work goes first, unless a long request must start now to end by its deadline.
+    fn next_to_send(&self) -> Option<id::Request> {
+        if self.long_is_urgent()
+            && let Some(id) = self.sendable(table::Class::Long)
+        {
+            return Some(id);
+        }
+        let short = self.sendable(table::Class::Short);
+        short.or_else(|| self.sendable(table::Class::Long))
+    }
+
+    fn long_is_urgent(&self) -> bool {
+        let first = self.long.first();
+        first.is_some_and(|first| first.due.saturating_sub(self.long_lead()) <= self.now)
+    }
+
+    fn long_lead(&self) -> Duration {
+        let upper = self.long_time.upper(URGENT_DEVIATIONS);
+        upper.unwrap_or(COLD_LONG_TIME)
+    }
+
+    fn sendable(&self, class: table::Class) -> Option<id::Request> {
+        if !self.slots.has_room(class) {
+            return None;
+        }
+        let queue = match class {
+            table::Class::Short => &self.short,
+            table::Class::Long => &self.long,
+        };
+        let mut near = queue.iter().take(LOOKAHEAD).map(|entry| entry.id);
+        near.find(|id| self.has_leave(*id))
+    }
+
+    fn send(&mut self, id: id::Request) {
+        self.unqueue(id);
+        let now = self.now;
+        let Some(active) = self.requests.get_mut(&id) else {
+            return;
+        };
+        active.attempts += 1;
+        active.phase = request::Phase::Running(request::Attempt {
+            sent: now,
+            deadline: active.arrival.deadline,
+            headed: false,
+            aborted: false,
+            overdue: false,
+        });
+        let output = Output::Send {
+            id,
+            caller: active.arrival.caller,
+            attempt: active.attempts,
+            deadline: active.arrival.deadline,
+        };
+        let class = active.arrival.class;
+        self.slots.take(class);
+        self.running.push(id);
+        self.note_sent(id);
+        self.out.push(output);
+    }
+
+    /// Takes a waiting request out of its queue and stops counting it as waiting.
+    ///
+    /// It stays in the table of requests; the caller changes its phase or removes it.
+    pub(super) fn unqueue(&mut self, id: id::Request) {
+        let Some(active) = self.requests.get(&id) else {
+            return;
+        };
+        let due = active.arrival.deadline;
+        let order = active.order;
+        let class = active.arrival.class;
+        let removed = match active.phase {
+            request::Phase::Queued => match class {
+                table::Class::Short => self.short.remove(due, order),
+                table::Class::Long => self.long.remove(due, order),
+            },
+            request::Phase::Held => self.held.remove(due, order),
+            request::Phase::Delayed(until) => self.delayed.remove(until, order),
+            request::Phase::Running(_) => false,
+        };
+        if removed {
+            self.waiting_bytes = self.waiting_bytes.saturating_sub(active.arrival.bytes);
+            let line = usize::from(!active.arrival.idempotent);
+            self.waiting_ledger = self.waiting_ledger.saturating_sub(line);
+        }
+    }
+
+    /// Puts a request that is in no queue back into one.
+    pub(super) fn requeue(&mut self, id: id::Request, phase: request::Phase) {
+        let Some(active) = self.requests.get_mut(&id) else {
+            return;
+        };
+        active.phase = phase;
+        self.waiting_bytes += active.arrival.bytes;
+        self.waiting_ledger += usize::from(!active.arrival.idempotent);
+        let class = active.arrival.class;
+        let mut entry = queue::Entry {
+            due: active.arrival.deadline,
+            order: active.order,
+            id,
+        };
+        match phase {
+            request::Phase::Held => self.held.insert(entry),
+            request::Phase::Delayed(until) => {
+                entry.due = until;
+                self.delayed.insert(entry);
+            }
+            request::Phase::Queued | request::Phase::Running(_) => {
+                self.queue_of(class).insert(entry);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/yucca-lane/src/lane/expire.rs
@@ -0,0 +1,187 @@
+//! What happens because time passed.
+
+use std::time::Duration;
+
+use yucca_wire::id;
+use yucca_wire::problem;
+
+use super::{Lane, Output};
+use crate::request;
+
+/// An attempt that takes this many deviations longer than the mean is overdue.
+const OVERDUE_DEVIATIONS: f64 = 8.0;
+
+/// The least time after which an attempt is overdue.
+const MIN_OVERDUE: Duration = Duration::from_millis(50);
+
+impl Lane {
+    /// Carries out what is due by now.
+    pub(super) fn expire(&mut self) {
+        let now = self.now;
+        self.ledger.expire(now);
+        self.slots.grow(now);
+        self.blind.retain(|_, until| now < *until);
+        if self.foreign_until.is_some_and(|until| now >= until) {
+            self.set_foreign(id::Slots(0), now);
+        }
+        self.free_ghosts();
+        self.expire_leave();
+        self.expire_running();
+        self.expire_waiting();
+        self.end_drain();
+        if self.evidence.dial_due(now) {
+            self.out.push(Output::Dial);
+        }
+    }
+
+    /// Returns when an attempt next passes its deadline or becomes overdue.
+    pub(super) fn next_attempt_event(&self) -> Option<Duration> {
+        let running = self.running.iter().filter_map(|id| self.requests.get(id));
+        let attempts = running.filter_map(|active| {
+            let attempt = active.attempt()?;
+            let deadline = (!attempt.aborted).then_some(active.arrival.deadline);
+            let overdue = self.overdue_at(active, attempt);
+            deadline.into_iter().chain(overdue).min()
+        });
+        let ghosts = self.ghosts.iter().map(|ghost| ghost.until);
+        attempts.chain(ghosts).min()
+    }
+
+    /// Gives up overdue idempotent attempts: a new connection works, so theirs went silent.
+    pub(super) fn abort_overdue(&mut self) {
+        let overdue: Vec<_> = self
+            .running
+            .iter()
+            .copied()
+            .filter(|id| self.is_overdue(*id))
+            .collect();
+        for id in overdue {
+            self.abort(id);
+        }
+    }
+
+    fn is_overdue(&self, id: id::Request) -> bool {
+        let Some(active) = self.requests.get(&id) else {
+            return false;
+        };
+        let overdue = active
+            .attempt()
+            .is_some_and(|attempt| attempt.overdue && !attempt.headed);
+        overdue && active.arrival.idempotent && active.attempts < self.config.retry.attempts
+    }
+
+    fn overdue_at(&self, active: &request::Active, attempt: &request::Attempt) -> Option<Duration> {
+        if attempt.overdue || attempt.headed || attempt.aborted {
+            return None;
+        }
+        let usual = self
+            .estimate(active.arrival.class)
+            .upper(OVERDUE_DEVIATIONS)?;
+        let half = attempt.deadline.saturating_sub(attempt.sent) / 2;
+        let at = attempt.sent + usual.max(MIN_OVERDUE).min(half);
+        Some(at)
+    }
+
+    fn free_ghosts(&mut self) {
+        let now = self.now;
+        let slots = &mut self.slots;
+        self.ghosts.retain(|ghost| {
+            let there = now < ghost.until;
+            if !there {
+                slots.give_back(ghost.class);
+            }
+            there
+        });
+    }
+
+    fn expire_running(&mut self) {
+        for id in self.running.clone() {
+            self.expire_attempt(id);
+        }
+    }
+
+    fn expire_attempt(&mut self, id: id::Request) {
+        let Some(active) = self.requests.get(&id) else {
+            return;
+        };
+        let Some(attempt) = active.attempt() else {
+            return;
+        };
+        if !attempt.aborted && self.now >= active.arrival.deadline {
+            return self.give_up(id);
+        }
+        let late = self.overdue_at(active, attempt);
+        if late.is_some_and(|at| self.now >= at) {
+            self.mark_overdue(id);
+        }
+    }
+
+    fn mark_overdue(&mut self, id: id::Request) {
+        let active = self.requests.get_mut(&id);
+        if let Some(attempt) = active.and_then(request::Active::attempt_mut) {
+            attempt.overdue = true;
+        }
+        if self.evidence.suspect(self.now) {
+            self.out.push(Output::Dial);
+        }
+    }
+
+    /// The caller of a running request gets its answer no more in time.
+    fn give_up(&mut self, id: id::Request) {
+        let Some(active) = self.requests.get(&id) else {
+            return;
+        };
+        let caller = active.arrival.caller;
+        if active.awaited {
+            let detail = format!("{} did not answer by the deadline", self.config.target);
+            let kind = problem::Kind::DeadlineExceeded;
+            self.refuse(id, caller, problem::Problem::unknown(kind, detail));
+        }
+        self.drop_first_caller(id);
+        let expired = self
+            .requests
+            .get(&id)
+            .is_some_and(|active| self.now >= active.arrival.deadline);
+        if expired {
+            self.abort(id);
+        }
+    }
+
+    fn expire_waiting(&mut self) {
+        while let Some(id) = self.expired() {
+            let detail = format!(
+                "the deadline passed while it waited for {}",
+                self.config.target
+            );
+            let kind = problem::Kind::DeadlineExceeded;
+            let problem = problem::Problem::not_run(kind, detail);
+            let caller = self.requests.get(&id).map(|active| active.arrival.caller);
+            if let Some(caller) = caller {
+                self.refuse(id, caller, problem);
+            }
+            self.drop_first_caller(id);
+        }
+        while let Some(entry) = self.delayed.first().copied() {
+            if entry.due > self.now {
+                return;
+            }
+            self.unqueue(entry.id);
+            let held = self.requests.get(&entry.id);
+            let held = held.is_some_and(|active| self.is_held(&active.arrival));
+            let phase = if held {
+                request::Phase::Held
+            } else {
+                request::Phase::Queued
+            };
+            self.requeue(entry.id, phase);
+        }
+    }
+
+    /// Returns a waiting request whose deadline passed.
+    fn expired(&self) -> Option<id::Request> {
+        let queues = [&self.short, &self.long, &self.held];
+        let firsts = queues.iter().filter_map(|queue| queue.first());
+        let mut due = firsts.filter(|entry| entry.due <= self.now);
+        due.next().map(|entry| entry.id)
+    }
+}
--- /dev/null
+++ b/crates/yucca-lane/src/lane/takeover.rs
@@ -0,0 +1,169 @@
+//! How a lane follows another and how it hands over.
+
+use std::time::Duration;
+
+use yucca_wire::id;
+use yucca_wire::problem;
+
+use super::{Lane, Output, Place, Takeover};
+use crate::ledger;
+use crate::request;
+
+impl Lane {
+    pub(super) fn take_over(&mut self, takeover: Takeover) {
+        self.blind.retain(|shard, _| shard.is_some());
+        self.inherit(takeover.ledger);
+        self.set_foreign(takeover.foreign, takeover.foreign_until);
+    }
+
+    /// Takes in the ledger entries of another lane: what had leave counts as perhaps run.
+    pub(super) fn inherit(&mut self, ledger: ledger::Snapshot) {
+        if ledger.entries.is_empty() && ledger.blind.is_empty() {
+            return;
+        }
+        for entry in ledger.entries {
+            self.inherit_entry(&entry);
+        }
+        for blind in ledger.blind {
+            let until = self.now + blind.lasts;
+            let known = self.blind.entry(blind.shard).or_insert(until);
+            *known = until.max(*known);
+        }
+        self.restart_copy();
+    }
+
+    /// Returns a copy of the ledger, of one shard or of all.
+    pub(super) fn snapshot(&self, shard: Option<id::Shard>) -> ledger::Snapshot {
+        let wanted = |of: Option<id::Shard>| shard.is_none() || of == shard;
+        let entries = self.ledger.entries();
+        let entries = entries.filter(|entry| wanted(entry.shard)).collect();
+        let blind = self.blind.iter();
+        let blind = blind.filter(|(of, _)| of.is_none() || wanted(**of));
+        let blind = blind.map(|(of, until)| ledger::Blind {
+            shard: of.or(shard),
+            lasts: until.saturating_sub(self.now),
+        });
+        ledger::Snapshot {
+            entries,
+            blind: blind.collect(),
+        }
+    }
+
+    /// An earlier lane tells how a request ended.
+    pub(super) fn settled(&mut self, entry: &ledger::Entry) {
+        let Some(known) = self.ledger.get(entry.id) else {
+            return;
+        };
+        let doubted = known.state == ledger::State::Unknown;
+        if doubted && matches!(entry.state, ledger::State::Answered(_)) {
+            self.settle(entry.id, entry.state);
+        }
+    }
+
+    pub(super) fn set_foreign(&mut self, slots: id::Slots, until: Duration) {
+        let over = slots.0 == 0 || until <= self.now;
+        self.slots
+            .set_foreign(if over { id::Slots(0) } else { slots });
+        self.foreign_until = (!over).then_some(until);
+    }
+
+    /// Another lane holds the target from now on, and this one sends nothing more.
+    pub(super) fn be_superseded(&mut self) {
+        self.superseded = true;
+        let detail = format!("the lane of {} moved to another host", self.config.target);
+        let problem = problem::Problem::not_run(problem::Kind::Stopping, detail);
+        for id in self.waiting_ids() {
+            self.refuse_waiting(id, &problem);
+        }
+    }
+
+    pub(super) fn hand_over(&mut self, to: id::Host) {
+        if self.is_closed() {
+            return;
+        }
+        for id in self.waiting_ids() {
+            self.forward(id, &Place::Host(to.clone()));
+        }
+        self.handed_to = Some(to.clone());
+        let held = self.slots.held();
+        self.told_held = Some(held);
+        self.out.push(Output::HandLedger {
+            to,
+            ledger: self.snapshot(None),
+            held: id::Slots(held),
+        });
+    }
+
+    /// Tells the lane that follows how many slots are still held here.
+    pub(super) fn tell_held(&mut self) {
+        let Some(to) = self.handed_to.clone() else {
+            return;
+        };
+        let held = self.slots.held();
+        if self.told_held != Some(held) {
+            self.told_held = Some(held);
+            self.out.push(Output::Held {
+                to,
+                slots: id::Slots(held),
+            });
+        }
+    }
+
+    fn inherit_entry(&mut self, entry: &ledger::Entry) {
+        let state = match entry.state {
+            ledger::State::Answered(status) => ledger::State::Answered(status),
+            ledger::State::Withdrawn => return,
+            _ => ledger::State::Unknown,
+        };
+        let known = self.ledger.get(entry.id);
+        let answered = |line: &ledger::Entry| matches!(line.state, ledger::State::Answered(_));
+        if known.as_ref().is_some_and(answered) || self.is_running(entry.id) {
+            return;
+        }
+        let seq = self.next_seq;
+        self.next_seq += 1;
+        let entry = ledger::Entry {
+            seq,
+            state,
+            ..entry.clone()
+        };
+        self.ledger.write(&entry, self.now);
+        self.replay_waiting(&entry);
+    }
+
+    fn is_running(&self, id: id::Request) -> bool {
+        let active = self.requests.get(&id);
+        active.is_some_and(|active| active.attempt().is_some())
+    }
+
+    /// Tells the callers of a waiting request that an earlier lane may have run it.
+    fn replay_waiting(&mut self, entry: &ledger::Entry) {
+        self.unqueue(entry.id);
+        let Some(active) = self.requests.swap_remove(&entry.id) else {
+            return;
+        };
+        let kept = match entry.state {
+            ledger::State::Answered(status) => request::Kept::Answered(status),
+            _ => request::Kept::Unknown,
+        };
+        let first = active.awaited.then_some(active.arrival.caller);
+        let mut callers: Vec<_> = first.into_iter().collect();
+        for attached in active.attached {
+            self.waiting_bytes = self.waiting_bytes.saturating_sub(attached.bytes);
+            callers.push(attached.caller);
+        }
+        for caller in callers {
+            self.out.push(Output::Replay {
+                id: entry.id,
+                caller,
+                kept,
+            });
+        }
+    }
+
+    fn waiting_ids(&self) -> Vec<id::Request> {
+        let waiting = self.requests.values();
+        let waiting = waiting.filter(|active| active.attempt().is_none());
+        waiting.map(|active| active.arrival.id).collect()
+    }
+}
