--- a/crates/yucca-lane/tests/support/mod.rs
+++ b/crates/yucca-lane/tests/support/mod.rs
@@ -1,5 +1,5 @@
 //! Small makers of lanes and arrivals for the tests.
-#![allow(dead_code)]
+#![allow(dead_code, clippy::unwrap_used)]
 
 use std::time::Duration;
 
