--- a/crates/yucca-lane/src/evidence.rs
+++ b/crates/yucca-lane/src/evidence.rs
@@ -5,6 +5,9 @@
 /// How often a silent target is dialled.
 const DIAL_INTERVAL: Duration = Duration::from_millis(200);
 
+/// How long a target may go unheard before it is dialled.
+const IDLE_INTERVAL: Duration = Duration::from_secs(5);
+
 /// How long a dial may go without a result before another is made.
 const DIAL_PATIENCE: Duration = Duration::from_millis(400);
 
@@ -44,6 +47,11 @@
         self.state
     }
 
+    /// Tells whether the failure of an exchange has not been explained yet.
+    pub fn is_blamed(&self) -> bool {
+        self.state != State::Alive && self.failures > 0
+    }
+
     /// Returns how many exchanges failed since the last answer.
     pub fn failures(&self) -> u32 {
         self.failures
@@ -90,7 +98,7 @@
     /// Returns when to dial again.
     pub fn next_dial(&self) -> Option<Duration> {
         match self.state {
-            State::Alive => None,
+            State::Alive => Some(self.heard.max(self.dialled.unwrap_or_default()) + IDLE_INTERVAL),
             State::Suspect => self.dialled.map(|at| at + DIAL_PATIENCE),
             State::Silent => self.dialled.map(|at| at + DIAL_INTERVAL),
         }
--- a/crates/yucca-lane/src/lane.rs
+++ b/crates/yucca-lane/src/lane.rs
@@ -179,7 +179,7 @@
         let due = due.map(|entry| entry.due);
         let others = [
             self.slots.next_growth(),
-            self.evidence.next_dial(),
+            self.evidence.next_dial().filter(|_| !self.is_closed()),
             self.next_attempt_event(),
             self.next_leave_event(),
             self.foreign_until,
@@ -253,7 +253,8 @@
     /// Tells whether the lane may send at all now.
     fn may_send(&self) -> bool {
         let leased = self.config.lease.is_none_or(|until| self.now < until);
-        leased && !self.is_closed() && self.evidence.state() != evidence::State::Silent
+        let silent = self.evidence.state() == evidence::State::Silent;
+        leased && !self.is_closed() && !silent && !self.evidence.is_blamed()
     }
 
     /// Tells whether the lane was handed over or taken over.
--- a/crates/yucca-lane/src/lane/admit.rs
+++ b/crates/yucca-lane/src/lane/admit.rs
@@ -37,14 +37,14 @@
             });
         }
         if let Some(problem) = self.objection(&arrival) {
-            return self.refuse(arrival.id, arrival.caller, problem);
+            return self.refuse_arrival(&arrival, problem);
         }
         if self.is_held(&arrival) {
             return self.admit_held(arrival);
         }
         match self.make_room(&arrival) {
             Ok(()) => self.admit(arrival, request::Phase::Queued),
-            Err(problem) => self.refuse(arrival.id, arrival.caller, problem),
+            Err(problem) => self.refuse_arrival(&arrival, problem),
         }
     }
 
@@ -58,6 +58,7 @@
             awaited: true,
             order: self.next_order,
             attempts: 0,
+            doubt: arrival.is_doubtful(),
             phase,
             leave: request::Leave::None,
             attached: Vec::new(),
@@ -86,6 +87,11 @@
         });
     }
 
+    fn refuse_arrival(&mut self, arrival: &request::Arrival, problem: problem::Problem) {
+        let problem = doubted(problem, arrival.is_doubtful());
+        self.refuse(arrival.id, arrival.caller, problem);
+    }
+
     /// Tells whether a request must wait for the end of a move.
     pub(super) fn is_held(&self, arrival: &request::Arrival) -> bool {
         if !self.config.keyed {
@@ -101,7 +107,7 @@
         self.owners.state(shard, arrival.key.as_ref())
     }
 
-    fn attach(&mut self, arrival: request::Arrival) {
+    fn attach(&mut self, mut arrival: request::Arrival) {
         let id = arrival.id;
         let caller = arrival.caller;
         let Some(active) = self.requests.get_mut(&id) else {
@@ -110,6 +116,11 @@
         if active.arrival.fingerprint != arrival.fingerprint {
             return self.refuse_reused(id, caller);
         }
+        arrival.class = active.arrival.class;
+        arrival.idempotent = active.arrival.idempotent;
+        arrival.shard = active.arrival.shard;
+        arrival.key = active.arrival.key.clone();
+        arrival.resent = true;
         let headed = active.attempt().is_some_and(|attempt| attempt.headed);
         if !active.awaited && !headed {
             active.awaited = true;
@@ -173,10 +184,8 @@
             let kind = problem::Kind::DeadlineExceeded;
             return Some(problem::Problem::not_run(kind, detail));
         }
-        let away = matches!(self.owner_state(arrival), None | Some(owners::State::Away));
-        if self.config.keyed && away {
-            let detail = format!("{target} does not own the key");
-            return Some(problem::Problem::not_run(problem::Kind::NoOwner, detail));
+        if let Some(problem) = self.not_owned(arrival) {
+            return Some(problem);
         }
         if !self.config.keyed && self.drained_at.is_some() {
             let detail = format!("{target} is draining");
@@ -198,10 +207,20 @@
         None
     }
 
+    /// Tells that the target does not own the key of a request.
+    pub(super) fn not_owned(&self, arrival: &request::Arrival) -> Option<problem::Problem> {
+        let state = self.owner_state(arrival);
+        let away = matches!(state, None | Some(owners::State::Away));
+        (self.config.keyed && away).then(|| {
+            let detail = format!("{} does not own the key", self.config.target);
+            problem::Problem::not_run(problem::Kind::NoOwner, detail)
+        })
+    }
+
     fn admit_held(&mut self, arrival: request::Arrival) {
         match self.make_space(&arrival) {
             Ok(()) => self.admit(arrival, request::Phase::Held),
-            Err(problem) => self.refuse(arrival.id, arrival.caller, problem),
+            Err(problem) => self.refuse_arrival(&arrival, problem),
         }
     }
 }
@@ -215,6 +234,15 @@
     }
 }
 
+/// Returns the problem, with an unknown outcome where the request may have run.
+pub(super) fn doubted(problem: problem::Problem, doubt: bool) -> problem::Problem {
+    if doubt && problem.outcome == problem::Outcome::NotRun {
+        let outcome = problem::Outcome::Unknown;
+        return problem::Problem { outcome, ..problem };
+    }
+    problem
+}
+
 /// Tells how readily a request is shed: the lowest goes first.
 pub(super) fn rank(arrival: &request::Arrival) -> u8 {
     match (arrival.idempotent, arrival.class) {
--- a/crates/yucca-lane/src/lane/expire.rs
+++ b/crates/yucca-lane/src/lane/expire.rs
@@ -5,7 +5,7 @@
 use yucca_wire::id;
 use yucca_wire::problem;
 
-use super::{Lane, Output};
+use super::{Lane, Output, admit};
 use crate::request;
 
 /// An attempt that takes this many deviations longer than the mean is overdue.
@@ -29,7 +29,7 @@
         self.expire_running();
         self.expire_waiting();
         self.end_drain();
-        if self.evidence.dial_due(now) {
+        if !self.is_closed() && self.evidence.dial_due(now) {
             self.out.push(Output::Dial);
         }
     }
@@ -148,22 +148,9 @@
     }
 
     fn expire_waiting(&mut self) {
-        while let Some(id) = self.expired() {
-            let detail = format!(
-                "the deadline passed while it waited for {}",
-                self.config.target
-            );
-            let kind = problem::Kind::DeadlineExceeded;
-            let problem = problem::Problem::not_run(kind, detail);
-            let caller = self.requests.get(&id).map(|active| active.arrival.caller);
-            if let Some(caller) = caller {
-                self.refuse(id, caller, problem);
-            }
-            self.drop_first_caller(id);
-        }
         while let Some(entry) = self.delayed.first().copied() {
             if entry.due > self.now {
-                return;
+                break;
             }
             self.unqueue(entry.id);
             let held = self.requests.get(&entry.id);
@@ -175,6 +162,20 @@
             };
             self.requeue(entry.id, phase);
         }
+        while let Some(id) = self.expired() {
+            let detail = format!(
+                "the deadline passed while it waited for {}",
+                self.config.target
+            );
+            let kind = problem::Kind::DeadlineExceeded;
+            let problem = problem::Problem::not_run(kind, detail);
+            if let Some(active) = self.requests.get(&id) {
+                let caller = active.arrival.caller;
+                let problem = admit::doubted(problem, active.doubt);
+                self.refuse(id, caller, problem);
+            }
+            self.drop_first_caller(id);
+        }
     }
 
     /// Returns a waiting request whose deadline passed.
--- a/crates/yucca-lane/src/lane/finish.rs
+++ b/crates/yucca-lane/src/lane/finish.rs
@@ -6,7 +6,7 @@
 use yucca_wire::problem;
 use yucca_wire::unit;
 
-use super::{Lane, Output};
+use super::{Lane, Output, admit};
 use crate::ledger;
 use crate::request;
 
@@ -74,10 +74,10 @@
 
     /// Goes on with the next caller of the same id, or gives the request up where there is none.
     pub(super) fn drop_first_caller(&mut self, id: id::Request) {
+        let next = self.next_caller(id);
         let Some(active) = self.requests.get_mut(&id) else {
             return;
         };
-        let next = (!active.attached.is_empty()).then(|| active.attached.remove(0));
         let attempt = active.attempt().copied();
         match (attempt, next) {
             (None, next) => {
@@ -101,6 +101,27 @@
         }
     }
 
+    /// Takes out the next caller of an id whose deadline has not passed, and answers the others.
+    fn next_caller(&mut self, id: id::Request) -> Option<request::Arrival> {
+        loop {
+            let active = self.requests.get_mut(&id)?;
+            if active.attached.is_empty() {
+                return None;
+            }
+            let next = active.attached.remove(0);
+            if next.deadline > self.now {
+                return Some(next);
+            }
+            let doubt = active.doubt || active.attempt().is_some();
+            self.waiting_bytes = self.waiting_bytes.saturating_sub(next.bytes);
+            let detail = format!("the deadline passed at {}", self.config.target);
+            let kind = problem::Kind::DeadlineExceeded;
+            let problem = problem::Problem::not_run(kind, detail);
+            let problem = admit::doubted(problem, doubt || next.is_doubtful());
+            self.refuse(id, next.caller, problem);
+        }
+    }
+
     /// Answers every caller of a waiting request and forgets it.
     pub(super) fn refuse_waiting(&mut self, id: id::Request, problem: &problem::Problem) {
         self.unqueue(id);
@@ -113,6 +134,7 @@
         let Some(active) = self.requests.swap_remove(&id) else {
             return;
         };
+        let problem = admit::doubted(problem.clone(), active.doubt);
         if active.awaited {
             self.refuse(id, active.arrival.caller, problem.clone());
         }
@@ -202,6 +224,9 @@
 
     fn fail(&mut self, id: id::Request, ended: &request::Attempt, failure: request::Failure) {
         self.weigh(ended, failure);
+        if let Some(active) = self.requests.get_mut(&id) {
+            active.doubt |= !failure.not_run();
+        }
         if ended.headed {
             return self.end_cut_short(id);
         }
@@ -271,14 +296,21 @@
         let Some(active) = self.requests.get(&id) else {
             return;
         };
-        let held = self.is_held(&active.arrival);
         let attempts = active.attempts;
-        let deadline = active.arrival.deadline;
-        let phase = if held {
+        let arrival = active.arrival.clone();
+        let room = match self.not_owned(&arrival) {
+            Some(problem) => Err(problem),
+            None => self.make_space(&arrival),
+        };
+        if let Err(problem) = room {
+            self.withdraw(id);
+            return self.refuse_all(id, &problem);
+        }
+        let phase = if self.is_held(&arrival) {
             request::Phase::Held
         } else if failure.not_run() {
             let until = self.now + self.retry_pause(attempts);
-            request::Phase::Delayed(until.min(deadline))
+            request::Phase::Delayed(until.min(arrival.deadline))
         } else {
             request::Phase::Queued
         };
--- a/crates/yucca-lane/src/lane/leave.rs
+++ b/crates/yucca-lane/src/lane/leave.rs
@@ -6,6 +6,7 @@
 use yucca_wire::problem;
 
 use super::{Lane, Output, Reason};
+use crate::evidence;
 use crate::ledger;
 use crate::request;
 
@@ -145,9 +146,11 @@
         let Some(active) = self.requests.get(&id) else {
             return false;
         };
-        active.arrival.idempotent
-            || active.leave == request::Leave::Given
-            || self.needs_no_standby()
+        if active.arrival.idempotent {
+            return true;
+        }
+        let suspect = self.evidence.state() != evidence::State::Alive;
+        !suspect && (active.leave == request::Leave::Given || self.needs_no_standby())
     }
 
     /// Writes the ledger line of a request that is sent without a standby.
@@ -195,6 +198,9 @@
 
     /// Returns when the standby is asked again, or given the ledger again.
     pub(super) fn next_leave_event(&self) -> Option<Duration> {
+        if self.is_closed() || self.config.standby.is_none() {
+            return None;
+        }
         let ask_at = Some(self.standby.ask_at).filter(|at| *at > self.now);
         let asked = self.standby.asked.first();
         let asked = asked.map(|question| question.at + LEAVE_PATIENCE);
--- a/crates/yucca-lane/src/lane/output.rs
+++ b/crates/yucca-lane/src/lane/output.rs
@@ -120,7 +120,7 @@
         /// The slots.
         slots: id::Slots,
     },
-    /// Make a new connection to the target and report [`Input::Alive`] or [`Input::Silent`].
+    /// Make a new connection to the target, have a small exchange on it, and report [`Input::Alive`] or [`Input::Silent`].
     ///
     /// [`Input::Alive`]: super::Input::Alive
     /// [`Input::Silent`]: super::Input::Silent
--- a/crates/yucca-lane/src/request.rs
+++ b/crates/yucca-lane/src/request.rs
@@ -55,6 +55,13 @@
     pub resent: bool,
 }
 
+impl Arrival {
+    /// Tells whether the target may have run it before. Non-idempotent work is in the ledger then.
+    pub(crate) fn is_doubtful(&self) -> bool {
+        self.resent && self.idempotent
+    }
+}
+
 /// How an attempt failed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Failure {
@@ -155,6 +162,8 @@
     pub order: u64,
     /// How often it was sent.
     pub attempts: u32,
+    /// Whether the target may have run it although the lane goes on with it.
+    pub doubt: bool,
     /// Where it stands.
     pub phase: Phase,
     /// How the standby's leave stands.
