--- a/crates/yucca-lane/src/estimate.rs
+++ b/crates/yucca-lane/src/estimate.rs
@@ -45,3 +45,28 @@
         enough.then(|| Duration::from_secs_f64(seconds.max(0.0)))
     }
 }
+
+/// The time over which a level is averaged.
+const LEVEL_SPAN: Duration = Duration::from_secs(1);
+
+/// A number that changes in steps, averaged over recent time.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Level {
+    average: f64,
+    updated: Duration,
+}
+
+impl Level {
+    /// Takes in that the number was `value` since the last update.
+    pub fn update(&mut self, value: f64, now: Duration) {
+        let passed = now.saturating_sub(self.updated).as_secs_f64();
+        self.updated = self.updated.max(now);
+        let weight = passed / (passed + LEVEL_SPAN.as_secs_f64());
+        self.average += (value - self.average) * weight;
+    }
+
+    /// Returns the average.
+    pub fn average(&self) -> f64 {
+        self.average
+    }
+}
--- a/crates/yucca-lane/src/lane.rs
+++ b/crates/yucca-lane/src/lane.rs
@@ -25,6 +25,7 @@
 mod leave;
 mod moves;
 mod output;
+mod pace;
 mod shed;
 mod takeover;
 
@@ -87,6 +88,8 @@
     ghosts: Vec<request::Ghost>,
     short_time: estimate::Estimate,
     long_time: estimate::Estimate,
+    /// How many slots short work holds, on average.
+    short_level: estimate::Level,
     budget: budget::Budget,
     evidence: evidence::Evidence,
     owners: owners::Owners,
@@ -127,6 +130,7 @@
             ghosts: Vec::new(),
             short_time: estimate::Estimate::default(),
             long_time: estimate::Estimate::default(),
+            short_level: estimate::Level::default(),
             budget: budget::Budget::new(config.retry.budget),
             evidence: evidence::Evidence::new(now),
             owners: owners::Owners::default(),
@@ -148,6 +152,8 @@
     /// Takes in what happened and returns what to do, in order.
     pub fn step(&mut self, input: Input, now: Duration) -> Vec<Output> {
         self.now = self.now.max(now);
+        let busy = self.slots.held() - self.slots.held_long();
+        self.short_level.update(f64::from(busy), self.now);
         self.expire();
         self.take(input);
         self.dispatch();
--- a/crates/yucca-lane/src/lane/dispatch.rs
+++ b/crates/yucca-lane/src/lane/dispatch.rs
@@ -46,7 +46,10 @@
             return Some(id);
         }
         let short = self.sendable(table::Class::Short);
-        short.or_else(|| self.sendable(table::Class::Long))
+        short.or_else(|| {
+            let paced = self.long_may_start();
+            paced.then(|| self.sendable(table::Class::Long)).flatten()
+        })
     }
 
     fn long_is_urgent(&self) -> bool {
