Lane: idempotent work may wait for 0.6 of its time left

Cause: at 1.5 times capacity the queue grew to the whole deadline, so that work that took longer than the mean was late, and orders with it. Change: idempotent work is refused where its predicted wait passes 0.6 of the time left; orders may use all of it, and displace reads.

--- a/crates/yucca-lane/src/lane/shed.rs
+++ b/crates/yucca-lane/src/lane/shed.rs
@@ -12,6 +12,10 @@
 use crate::evidence;
 use crate::request;
 
+/// The share of the time left that idempotent work may be predicted to wait. The rest is room for
+/// work that takes longer than the mean and for orders, which may use all of it.
+const IDEMPOTENT_SHARE: f64 = 0.6;
+
 impl Lane {
     /// Makes room for a request in the queue of its class, by shedding less important work.
     ///
@@ -69,7 +73,13 @@
 
     fn is_late(&self, arrival: &request::Arrival) -> bool {
         let wait = self.predicted_wait(arrival.class, arrival.deadline);
-        !wait.is_zero() && self.now.saturating_add(wait) > arrival.deadline
+        let share = if arrival.idempotent {
+            IDEMPOTENT_SHARE
+        } else {
+            1.0
+        };
+        let left = arrival.deadline.saturating_sub(self.now);
+        !wait.is_zero() && wait > left.mul_f64(share)
     }
 
     fn has_space(&self, arrival: &request::Arrival) -> bool {
