--- a/crates/yucca-lane/tests/state_machine.rs
+++ b/crates/yucca-lane/tests/state_machine.rs
@@ -138,7 +138,8 @@
     runs: IndexMap<id::Request, u32>,
     /// The ids for which a caller was told that they did not run, and that nobody sent since.
     not_run: IndexSet<id::Request>,
-    waiting: IndexMap<request::Caller, id::Request>,
+    /// The callers without an answer, and how often their ids had run when they arrived.
+    waiting: IndexMap<request::Caller, (id::Request, u32)>,
     next_caller: u64,
     /// Whether work of a shard may be sent.
     open: IndexMap<id::Shard, bool>,
@@ -298,7 +299,8 @@
             deadline: self.now + ms(millis),
             resent,
         };
-        self.waiting.insert(caller, id);
+        let runs = self.runs.get(&id).copied().unwrap_or_default();
+        self.waiting.insert(caller, (id, runs));
         self.step(lane::Input::Arrive(arrival));
     }
 
@@ -308,7 +310,7 @@
         }
         let at = at % self.waiting.len();
         let (caller, id) = self.waiting.get_index(at).unwrap();
-        let (caller, id) = (*caller, *id);
+        let (caller, id) = (*caller, id.0);
         self.step(lane::Input::Cancel { id, caller });
         self.waiting.swap_remove(&caller);
     }
@@ -453,7 +455,7 @@
                 problem,
             } => {
                 if problem.outcome == problem::Outcome::NotRun {
-                    self.check_not_run(id, problem.kind);
+                    self.check_not_run(id, caller, problem.kind);
                 }
                 self.end_caller(caller, id);
             }
@@ -465,7 +467,7 @@
             }
             lane::Output::Forward { id, caller, .. } => {
                 if !is_idempotent(id) {
-                    self.check_not_run(id, problem::Kind::NoOwner);
+                    self.check_not_run(id, caller, problem::Kind::NoOwner);
                 }
                 self.end_caller(caller, id);
             }
@@ -520,14 +522,16 @@
     }
 
     /// A request told not-run has not run and is not at the target.
-    fn check_not_run(&mut self, id: id::Request, kind: problem::Kind) {
+    fn check_not_run(&mut self, id: id::Request, caller: request::Caller, kind: problem::Kind) {
         if kind == problem::Kind::IdReused {
             return;
         }
         let running = self.running.iter().any(|one| one.id == id);
         assert!(!running, "request {id} told not-run while it runs");
+        let runs = self.runs.get(&id).copied().unwrap_or_default();
+        let before = self.waiting[&caller].1;
+        assert_eq!(runs, before, "request {id} ran, told not-run: {kind}");
         if !is_idempotent(id) {
-            let runs = self.runs.get(&id).copied().unwrap_or_default();
             assert_eq!(runs, 0, "request {id} ran, told not-run: {kind}");
         }
         self.not_run.insert(id);
@@ -540,7 +544,11 @@
 
     fn end_caller(&mut self, caller: request::Caller, id: id::Request) {
         let known = self.waiting.swap_remove(&caller);
-        assert_eq!(known, Some(id), "caller {caller} answered twice");
+        assert_eq!(
+            known.map(|known| known.0),
+            Some(id),
+            "caller {caller} answered twice"
+        );
     }
 
     fn check(&self) {
