--- /dev/null
+++ b/crates/yucca-lane/tests/target_evidence.rs
@@ -0,0 +1,76 @@
+//! A target is judged by the answers seen, and dialled anew before it is blamed.
+
+mod support;
+
+use support::*;
+use yucca_lane::evidence;
+use yucca_lane::lane;
+use yucca_lane::request::Failure;
+use yucca_wire::problem::{Kind, Outcome};
+
+#[test]
+fn a_lost_exchange_asks_for_a_new_connection_first() {
+    let mut lane = lane();
+    for id in 1..=5 {
+        arrive(&mut lane, read(id), ms(0));
+    }
+    let outputs = ended(&mut lane, 1, 1, Err(Failure::Lost), ms(1));
+    assert_eq!(outputs, [lane::Output::Dial], "nothing is sent meanwhile");
+    assert_eq!(lane.evidence().state(), evidence::State::Suspect);
+    let outputs = ended(&mut lane, 2, 1, Err(Failure::Lost), ms(2));
+    assert!(outputs.is_empty(), "one dial at a time");
+    assert_eq!(sent(&lane.step(lane::Input::Alive, ms(3))).len(), 2);
+    assert_eq!(lane.evidence().state(), evidence::State::Alive);
+}
+
+#[test]
+fn a_silent_target_gets_nothing_and_is_dialled_on() {
+    let mut lane = lane();
+    arrive(&mut lane, read(1), ms(0));
+    ended(&mut lane, 1, 1, Err(Failure::ConnectFailed), ms(1));
+    lane.step(lane::Input::Silent, ms(2));
+    assert_eq!(lane.load(ms(2)).wait_us, u64::MAX);
+    let outputs = arrive(&mut lane, read(2), ms(3));
+    assert_eq!(refused(&outputs), [(2, Kind::NoOwner, Outcome::NotRun)]);
+    let outputs = tick(&mut lane, ms(202));
+    assert_eq!(outputs, [lane::Output::Dial]);
+    assert_eq!(sent(&lane.step(lane::Input::Alive, ms(203))), [1]);
+}
+
+#[test]
+fn an_overdue_read_is_tried_over_a_new_connection() {
+    let mut lane = lane();
+    for id in 10..20 {
+        arrive(&mut lane, read(id), ms(0));
+        answer(&mut lane, id, ms(0));
+    }
+    arrive(&mut lane, read(1), ms(0));
+    arrive(&mut lane, order(2), ms(0));
+    let overdue = lane.next_wake();
+    assert_eq!(overdue, Some(ms(50)));
+    assert_eq!(tick(&mut lane, ms(50)), [lane::Output::Dial]);
+    let outputs = lane.step(lane::Input::Alive, ms(52));
+    assert_eq!(aborted(&outputs), [1], "the order is left alone");
+    ended(&mut lane, 1, 1, Err(Failure::Lost), ms(53));
+    assert_eq!(sent(&lane.step(lane::Input::Alive, ms(54))), [1]);
+}
+
+#[test]
+fn an_overdue_read_stays_when_the_target_is_silent_everywhere() {
+    let mut lane = lane();
+    for id in 10..20 {
+        arrive(&mut lane, read(id), ms(0));
+        answer(&mut lane, id, ms(0));
+    }
+    arrive(&mut lane, read(1), ms(0));
+    tick(&mut lane, ms(50));
+    assert!(aborted(&lane.step(lane::Input::Silent, ms(52))).is_empty());
+}
+
+#[test]
+fn an_idle_target_is_dialled_rarely() {
+    let mut lane = lane();
+    assert!(tick(&mut lane, ms(4999)).is_empty());
+    assert_eq!(tick(&mut lane, ms(5000)), [lane::Output::Dial]);
+    assert!(tick(&mut lane, ms(9999)).is_empty());
+}
