--- /dev/null
+++ b/crates/yucca-entry/src/process.rs
@@ -0,0 +1,12 @@
+//! What lives for the process: listeners, lanes, counters, start and stop.
+
+pub mod announce;
+pub mod balancer;
+pub mod callers;
+pub mod lanes;
+pub mod listen;
+pub mod peer;
+pub mod running;
+pub mod shared;
+
+pub use running::{Addresses, Error, Process};
--- /dev/null
+++ b/crates/yucca-entry/src/process/announce.rs
@@ -0,0 +1,102 @@
+//! The listener on which targets announce themselves.
+
+use std::mem;
+use std::sync;
+
+use http_body_util::BodyExt;
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use yucca_wire::announce;
+use yucca_wire::finding;
+
+use crate::process::shared;
+use crate::request::body;
+
+/// The path of announcements.
+pub const PATH: &str = "/announce";
+
+/// The most bytes of an announcement.
+const MAX_BYTES: u64 = 16 << 10;
+
+/// The heartbeats of targets since the last report, the newest of each target.
+#[derive(Default)]
+pub struct Announced {
+    // A leaf in the lock order.
+    heard: sync::Mutex<IndexMap<String, announce::Announce>>,
+    /// Wakes the reporter at once for news that must not wait for the next heartbeat.
+    pub urgent: Notify,
+}
+
+impl Announced {
+    /// Takes in a heartbeat.
+    pub fn hear(&self, announced: announce::Announce) {
+        let urgent = announced.state != announce::State::Serving;
+        let mut heard = self.heard.lock().unwrap_or_else(|poison| poison.into_inner());
+        let previous = heard.insert(announced.target.clone(), announced);
+        drop(heard);
+        if urgent && previous.is_none_or(|previous| previous.state == announce::State::Serving) {
+            self.urgent.notify_one();
+        }
+    }
+
+    /// Takes out what was heard.
+    pub fn drain(&self) -> Vec<announce::Announce> {
+        let mut heard = self.heard.lock().unwrap_or_else(|poison| poison.into_inner());
+        mem::take(&mut *heard).into_values().collect()
+    }
+}
+
+/// Answers one request on the announce listener.
+pub async fn serve(
+    shared: sync::Arc<shared::Shared>,
+    request: http::Request<hyper::body::Incoming>,
+) -> http::Response<body::Stream> {
+    let given = request.headers().get(http::header::AUTHORIZATION);
+    if !shared.settings.announce_secret.admits(given.map(|value| value.as_bytes())) {
+        metrics::counter!("yucca_unauthorized_total", "listener" => "announce").increment(1);
+        return reply(http::StatusCode::UNAUTHORIZED, String::new());
+    }
+    if request.method() != http::Method::POST || request.uri().path() != PATH {
+        return reply(http::StatusCode::NOT_FOUND, format!("use POST {PATH}"));
+    }
+    let collected = body::incoming(request.into_body(), MAX_BYTES).collect().await;
+    let Ok(collected) = collected else {
+        return reply(http::StatusCode::PAYLOAD_TOO_LARGE, String::new());
+    };
+    match read(&collected.to_bytes()) {
+        Ok(announced) => {
+            shared.announced.hear(announced);
+            reply(http::StatusCode::NO_CONTENT, String::new())
+        }
+        Err(finding) => reply(http::StatusCode::UNPROCESSABLE_ENTITY, finding.to_string()),
+    }
+}
+
+fn read(bytes: &[u8]) -> Result<announce::Announce, finding::Finding> {
+    let at = |path: String, problem: String| finding::Finding {
+        place: finding::Place {
+            path,
+            ..finding::Place::default()
+        },
+        problem,
+        remedy: "see schema/announce.json".into(),
+    };
+    let announced: announce::Announce = serde_json::from_slice(bytes)
+        .map_err(|error| at("announcement".into(), error.to_string()))?;
+    if let Err(error) = announced.address.parse::<std::net::SocketAddr>() {
+        return Err(at("address".into(), error.to_string()));
+    }
+    if let Err(error) = announced.target.parse::<yucca_wire::id::Target>() {
+        return Err(at("target".into(), error.to_string()));
+    }
+    if let Err(error) = announced.service.parse::<yucca_wire::id::Service>() {
+        return Err(at("service".into(), error.to_string()));
+    }
+    Ok(announced)
+}
+
+fn reply(status: http::StatusCode, text: String) -> http::Response<body::Stream> {
+    let mut response = http::Response::new(body::full(text.into()));
+    *response.status_mut() = status;
+    response
+}
--- /dev/null
+++ b/crates/yucca-entry/src/process/callers.rs
@@ -0,0 +1,55 @@
+//! The listener of callers.
+
+use std::sync;
+use std::sync::atomic;
+
+use yucca_wire::problem;
+
+use crate::process::shared;
+use crate::request::answer;
+use crate::request::body;
+use crate::request::forward;
+use crate::request::parse;
+
+/// Counts a request in flight until it is dropped.
+struct InFlight(sync::Arc<shared::Shared>);
+
+impl InFlight {
+    fn begin(shared: &sync::Arc<shared::Shared>) -> Self {
+        shared.in_flight.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(sync::Arc::clone(shared))
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// Answers one request of a caller.
+pub async fn serve(
+    shared: sync::Arc<shared::Shared>,
+    request: http::Request<hyper::body::Incoming>,
+) -> http::Response<body::Stream> {
+    let limit = shared.settings.request_limit as usize;
+    if shared.in_flight.load(atomic::Ordering::Relaxed) >= limit {
+        let detail = format!("{limit} requests are in flight at this host");
+        let problem = problem::Problem::not_run(problem::Kind::Shed, detail)
+            .retry_after(yucca_wire::unit::Span::from_millis(1000));
+        return answer::refused(&problem, None);
+    }
+    let counted = InFlight::begin(&shared);
+    let (parts, incoming) = request.into_parts();
+    let view = shared.current.load();
+    let read = match parse::read(&view, &parts) {
+        Ok(read) => read,
+        Err(problem) => return answer::refused(&problem, None),
+    };
+    drop(view);
+    let service = read.service.clone();
+    let stream = body::incoming(incoming, read.body_limit);
+    let answer = forward::run(&shared, read, &parts, stream).await;
+    drop(counted);
+    answer.into_response(&service)
+}
--- /dev/null
+++ b/crates/yucca-entry/src/process/lanes.rs
@@ -0,0 +1,103 @@
+//! The lanes that this host holds, and the ledgers that it keeps as a standby.
+
+use std::sync;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::time;
+use yucca_lane::lane;
+use yucca_wire::head;
+use yucca_wire::id;
+use yucca_wire::report;
+
+use crate::process::peer;
+use crate::process::shared;
+use crate::request::answer;
+use crate::request::body;
+
+mod attempt;
+mod grants;
+pub mod message;
+mod reconcile;
+mod runtime;
+pub mod standbys;
+
+pub use reconcile::reconcile;
+
+/// The longest that lanes go without a tick.
+const TICK: Duration = Duration::from_millis(5);
+
+/// The lanes of this host.
+#[derive(Default)]
+pub struct Lanes {
+    // First in the lock order.
+    open: sync::Mutex<IndexMap<id::Target, sync::Arc<runtime::Runtime>>>,
+    /// The ledgers kept for lanes of other hosts.
+    pub standbys: standbys::Standbys,
+}
+
+impl Lanes {
+    fn lock(&self) -> sync::MutexGuard<'_, IndexMap<id::Target, sync::Arc<runtime::Runtime>>> {
+        self.open.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Returns the lane of a target, where this host holds it.
+    pub fn get(&self, target: &id::Target) -> Option<sync::Arc<runtime::Runtime>> {
+        self.lock().get(target).cloned()
+    }
+
+    /// Returns all lanes.
+    pub fn all(&self) -> Vec<sync::Arc<runtime::Runtime>> {
+        self.lock().values().cloned().collect()
+    }
+}
+
+/// Takes a request through the lane of its target and returns the answer.
+///
+/// Dropping the future tells the lane that the caller hung up.
+pub async fn run(
+    shared: &sync::Arc<shared::Shared>,
+    head: head::Request,
+    stream: body::Stream,
+    deadline: time::Instant,
+) -> answer::Answer {
+    let Some(runtime) = shared.lanes.get(&head.target) else {
+        return peer::not_here(&head.target);
+    };
+    runtime.run(shared, head, stream, deadline).await
+}
+
+/// Wakes each lane when it wants to be.
+pub async fn tick(shared: sync::Arc<shared::Shared>) {
+    let mut interval = time::interval(TICK);
+    interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let now = shared.now();
+        for runtime in shared.lanes.all() {
+            if runtime.wants_wake(now) {
+                runtime.step(&shared, lane::Input::Tick);
+            }
+        }
+    }
+}
+
+/// Returns what the lanes saw since the last report.
+pub fn report(shared: &sync::Arc<shared::Shared>) -> IndexMap<id::Target, report::Lane> {
+    let lanes = shared.lanes.all();
+    let reports = lanes.iter().map(|lane| (lane.target().clone(), lane.report()));
+    reports.collect()
+}
+
+/// Waits until no lane holds work and no caller waits.
+pub async fn drained(shared: &sync::Arc<shared::Shared>) {
+    let mut interval = time::interval(TICK);
+    loop {
+        interval.tick().await;
+        let in_flight = shared.in_flight.load(sync::atomic::Ordering::Relaxed);
+        let held = shared.lanes.all().iter().any(|lane| !lane.is_idle());
+        if in_flight == 0 && !held {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/yucca-entry/src/process/lanes/attempt.rs
@@ -0,0 +1,344 @@
+//! One attempt at a target: sends a request and receives the answer.
+
+use std::sync;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::channel::Channel;
+use tokio::time;
+use yucca_lane::lane;
+use yucca_lane::request;
+use yucca_wire::grant;
+use yucca_wire::head;
+use yucca_wire::id;
+
+use crate::connection::pool;
+use crate::process::lanes::runtime;
+use crate::process::shared;
+use crate::request::answer;
+use crate::request::body;
+use crate::request::fields;
+
+/// Idempotent work is tried on a new connection when this share of its time has passed in silence:
+/// the connection may be silent alone.
+const PATIENCE_SHARE: u32 = 3;
+
+/// The chunks of a long answer that wait for its caller.
+const CHUNKS_IN_FLIGHT: usize = 4;
+
+/// What a target asks to be spared for when it sheds and does not say.
+const DEFAULT_SHED: Duration = Duration::from_millis(100);
+
+/// What is sent.
+pub struct Sending {
+    /// The request.
+    pub id: id::Request,
+    /// The attempt, from 1.
+    pub attempt: u32,
+    /// The head.
+    pub head: sync::Arc<head::Request>,
+    /// When the target should give up.
+    pub deadline: time::Instant,
+    /// The fencing token to send along.
+    pub grant: id::Token,
+}
+
+/// What a target answered.
+pub struct Received {
+    status: u16,
+    headers: sync::Arc<[head::Field]>,
+    body: Content,
+}
+
+enum Content {
+    Whole(Bytes),
+    Long(body::Stream),
+    Taken,
+}
+
+impl Received {
+    /// Returns the answer for one more caller; none where a long body went to another.
+    pub fn share(&mut self) -> Option<Self> {
+        let body = match &self.body {
+            Content::Whole(bytes) => Content::Whole(bytes.clone()),
+            Content::Long(_) => std::mem::replace(&mut self.body, Content::Taken),
+            Content::Taken => return None,
+        };
+        Some(Self {
+            status: self.status,
+            headers: sync::Arc::clone(&self.headers),
+            body,
+        })
+    }
+
+    /// Returns the answer of the lane.
+    pub fn into_answer(self, load: head::Load) -> answer::Answer {
+        let verdict = head::Verdict::Answered {
+            status: self.status,
+            headers: self.headers.to_vec(),
+        };
+        let body = match self.body {
+            Content::Whole(bytes) => body::full(bytes),
+            Content::Long(stream) => stream,
+            Content::Taken => body::full(Bytes::new()),
+        };
+        answer::Answer {
+            head: head::Answer { verdict, load },
+            body,
+        }
+    }
+}
+
+/// How an attempt went.
+pub struct Ended {
+    /// The request.
+    pub id: id::Request,
+    /// The attempt, from 1.
+    pub attempt: u32,
+    /// The status, or how it failed.
+    pub result: Result<request::Status, request::Failure>,
+    /// The answer, where one came.
+    pub received: Option<Received>,
+    /// Whether the exchange is over; otherwise only the head and the first part of the body came.
+    pub finished: bool,
+    /// How long the target worked on it since the last such word.
+    pub took: Duration,
+}
+
+/// Reports an attempt as lost where it is dropped before its end.
+struct Guard {
+    shared: sync::Arc<shared::Shared>,
+    runtime: sync::Arc<runtime::Runtime>,
+    id: id::Request,
+    attempt: u32,
+    since: time::Instant,
+    over: bool,
+}
+
+impl Guard {
+    fn end(
+        &mut self,
+        result: Result<request::Status, request::Failure>,
+        received: Option<Received>,
+        finished: bool,
+    ) {
+        self.over = finished;
+        let took = self.since.elapsed();
+        self.since = time::Instant::now();
+        self.runtime.ended(
+            &self.shared,
+            Ended {
+                id: self.id,
+                attempt: self.attempt,
+                result,
+                received,
+                finished,
+                took,
+            },
+        );
+    }
+}
+
+impl Drop for Guard {
+    fn drop(&mut self) {
+        if !self.over {
+            self.end(Err(request::Failure::Lost), None, true);
+        }
+    }
+}
+
+/// Sends a request and tells the lane how it went.
+pub async fn run(
+    shared: sync::Arc<shared::Shared>,
+    runtime: sync::Arc<runtime::Runtime>,
+    sending: Sending,
+) {
+    let mut guard = Guard {
+        shared,
+        runtime: sync::Arc::clone(&runtime),
+        id: sending.id,
+        attempt: sending.attempt,
+        since: time::Instant::now(),
+        over: false,
+    };
+    let exchanged = time::timeout_at(sending.deadline, exchange(&runtime, &sending)).await;
+    let (mut connection, response) = match exchanged {
+        Ok(Ok(exchanged)) => exchanged,
+        Ok(Err(failure)) => return guard.end(Err(failure), None, true),
+        Err(_) => return guard.end(Err(request::Failure::Timeout), None, true),
+    };
+    if let Some(failure) = refusal(&response) {
+        // The connection is closed with its unread body: refusals are rare and short.
+        drop(connection);
+        return guard.end(Err(failure), None, true);
+    }
+    let (parts, stream) = response.into_parts();
+    let status = request::Status(parts.status.as_u16());
+    let received = |body| Received {
+        status: status.0,
+        headers: fields::end_to_end(&parts.headers).into(),
+        body,
+    };
+    match time::timeout_at(sending.deadline, body::Kept::read(stream)).await {
+        Ok(Ok(body::Kept::Whole(bytes))) => {
+            guard.end(Ok(status), Some(received(Content::Whole(bytes))), true);
+            if connection.is_reusable().await {
+                runtime.pool.put(connection);
+            }
+        }
+        Ok(Ok(body::Kept::Long(stream))) => {
+            let (sender, channel) = Channel::new(CHUNKS_IN_FLIGHT);
+            let long = Content::Long(channel.boxed_unsync());
+            guard.end(Ok(status), Some(received(long)), false);
+            let whole = pump(stream, sender, sending.deadline).await;
+            let result = if whole { Ok(status) } else { Err(request::Failure::Lost) };
+            guard.end(result, None, true);
+            if whole && connection.is_reusable().await {
+                runtime.pool.put(connection);
+            }
+        }
+        Ok(Ok(body::Kept::Sent) | Err(_)) => guard.end(Err(request::Failure::Lost), None, true),
+        Err(_) => guard.end(Err(request::Failure::Timeout), None, true),
+    }
+}
+
+/// Passes a long answer on; tells whether all of it came and was taken.
+async fn pump(
+    mut stream: body::Stream,
+    mut sender: http_body_util::channel::Sender<Bytes, body::Error>,
+    deadline: time::Instant,
+) -> bool {
+    loop {
+        match time::timeout_at(deadline, stream.frame()).await {
+            Ok(None) => return true,
+            Ok(Some(Ok(frame))) => {
+                if sender.send(frame).await.is_err() {
+                    return false;
+                }
+            }
+            Ok(Some(Err(error))) => {
+                sender.abort(error);
+                return false;
+            }
+            Err(_) => {
+                sender.abort(body::Error::Deadline);
+                return false;
+            }
+        }
+    }
+}
+
+type Exchanged = (pool::Connection, http::Response<body::Stream>);
+
+async fn exchange(
+    runtime: &sync::Arc<runtime::Runtime>,
+    sending: &Sending,
+) -> Result<Exchanged, request::Failure> {
+    // A retry, and work that may run once only, get a connection that was certainly alive a
+    // moment ago: an idle one may have gone silent.
+    let fresh = sending.attempt > 1;
+    let taken = if fresh {
+        runtime.pool.dial().await
+    } else if sending.head.idempotent {
+        runtime.pool.take().await
+    } else {
+        runtime.pool.take_recent().await
+    };
+    let connection = taken.map_err(|_| request::Failure::ConnectFailed)?;
+    match send(runtime, sending, connection).await {
+        Err(pool::Error::Unsent(_)) if !fresh => {
+            // An idle connection that the target had closed: nothing was sent, so dial.
+            let dialled = runtime.pool.dial().await;
+            let connection = dialled.map_err(|_| request::Failure::ConnectFailed)?;
+            send(runtime, sending, connection).await.map_err(explain)
+        }
+        other => other.map_err(explain),
+    }
+}
+
+fn explain(error: pool::Error) -> request::Failure {
+    match error {
+        pool::Error::Dial(_) | pool::Error::Unsent(_) => request::Failure::ConnectFailed,
+        pool::Error::Lost(_) | pool::Error::Silent => request::Failure::Lost,
+    }
+}
+
+async fn send(
+    runtime: &sync::Arc<runtime::Runtime>,
+    sending: &Sending,
+    mut connection: pool::Connection,
+) -> Result<Exchanged, pool::Error> {
+    let Some(stream) = runtime.body(sending.id) else {
+        return Err(pool::Error::Silent);
+    };
+    let request = build(sending, stream);
+    if !sending.head.idempotent || sending.attempt > 1 {
+        let response = connection.send(request).await?;
+        return Ok((connection, response));
+    }
+    let left = sending.deadline.saturating_duration_since(time::Instant::now());
+    match time::timeout(left / PATIENCE_SHARE, connection.send(request)).await {
+        Ok(sent) => {
+            let response = sent?;
+            Ok((connection, response))
+        }
+        Err(_) => {
+            metrics::counter!("yucca_silent_connections_total").increment(1);
+            runtime.pool.clear();
+            Err(pool::Error::Silent)
+        }
+    }
+}
+
+fn build(sending: &Sending, stream: body::Stream) -> http::Request<body::Stream> {
+    let head = &sending.head;
+    let mut request = http::Request::new(stream);
+    *request.method_mut() = head.method.parse().unwrap_or_default();
+    *request.uri_mut() = head.uri.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    fields::extend(headers, &head.headers);
+    let left = sending.deadline.saturating_duration_since(time::Instant::now());
+    let own = [
+        (grant::TOKEN_HEADER, sending.grant.to_string()),
+        (grant::REQUEST_HEADER, sending.id.to_string()),
+        (grant::DEADLINE_HEADER, left.as_millis().to_string()),
+    ];
+    for (name, value) in own {
+        if let Ok(value) = http::HeaderValue::from_str(&value) {
+            headers.insert(name, value);
+        }
+    }
+    if !headers.contains_key(http::header::HOST) {
+        headers.insert(
+            http::header::HOST,
+            http::HeaderValue::from_static("target"),
+        );
+    }
+    request
+}
+
+/// Tells whether a target refused a request before running it.
+fn refusal(response: &http::Response<body::Stream>) -> Option<request::Failure> {
+    response.headers().get(grant::REFUSED_HEADER)?;
+    if response.status() != http::StatusCode::SERVICE_UNAVAILABLE {
+        return Some(request::Failure::Refused);
+    }
+    let after = response.headers().get(http::header::RETRY_AFTER);
+    let seconds = after.and_then(|value| value.to_str().ok()?.parse().ok());
+    Some(request::Failure::Shed {
+        retry_after: seconds.map_or(DEFAULT_SHED, Duration::from_secs),
+    })
+}
+
+/// Makes a new connection and tells the lane whether the target took it.
+pub async fn dial(shared: &sync::Arc<shared::Shared>, runtime: &sync::Arc<runtime::Runtime>) {
+    let input = match runtime.pool.dial().await {
+        Ok(connection) => {
+            runtime.pool.put(connection);
+            lane::Input::Alive
+        }
+        Err(_) => lane::Input::Silent,
+    };
+    runtime.step(shared, input);
+}
--- /dev/null
+++ b/crates/yucca-entry/src/process/lanes/grants.rs
@@ -0,0 +1,330 @@
+//! Tells a target what it owns, and the lane when the target knows.
+//!
+//! A shard's requests are sent only after the target took its grant, and a shard counts as released
+//! only after the target took its revocation.
+
+use std::mem;
+use std::sync;
+use std::time::Duration;
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use tokio::sync::Notify;
+use tokio::time;
+use yucca_lane::lane;
+use yucca_lane::owners;
+use yucca_wire::grant;
+use yucca_wire::id;
+use yucca_wire::report;
+use yucca_wire::table;
+
+use crate::process::lanes::message;
+use crate::process::lanes::runtime;
+use crate::process::shared;
+use crate::request::body;
+
+/// How long an order may take before it is sent again on a new connection.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How long to wait before an order that failed is sent again.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
+/// What a target was told that it owns.
+#[derive(Default)]
+pub struct Grants {
+    // A leaf in the lock order.
+    told: sync::Mutex<Told>,
+    /// Wakes the worker that sends orders.
+    wake: Notify,
+}
+
+#[derive(Default)]
+struct Told {
+    scopes: IndexMap<owners::Scope, Line>,
+    pending: Vec<Change>,
+    // Told to control until it acts on them, since a report may be lost.
+    released: IndexMap<owners::Scope, report::Release>,
+    closed: bool,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq)]
+struct Line {
+    token: id::Token,
+    moving: bool,
+}
+
+/// A change that the target has not confirmed.
+#[derive(Clone)]
+enum Change {
+    Grant {
+        scope: owners::Scope,
+        token: id::Token,
+        earlier: Option<id::Target>,
+    },
+    Revoke {
+        scope: owners::Scope,
+        release: report::Release,
+    },
+}
+
+/// What a target should own, as the current version says.
+pub struct Wanted {
+    /// The owner's line of the table.
+    pub owner: table::Owner,
+    /// Who owned it in the version before.
+    pub earlier: Option<id::Target>,
+}
+
+impl Grants {
+    fn lock(&self) -> sync::MutexGuard<'_, Told> {
+        self.told.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Returns the releases that control has not acted on.
+    pub fn released(&self) -> Vec<report::Release> {
+        self.lock().released.values().cloned().collect()
+    }
+
+    /// Ends the worker.
+    pub fn close(&self) {
+        self.lock().closed = true;
+        self.wake.notify_one();
+    }
+
+    /// Compares what the target was told with what it should own; returns what the lane is told
+    /// at once.
+    pub fn compare(&self, wanted: &IndexMap<owners::Scope, Wanted>) -> Vec<lane::Change> {
+        let mut told = self.lock();
+        let mut changes = Vec::new();
+        let gone: Vec<owners::Scope> = told
+            .scopes
+            .keys()
+            .filter(|scope| !wanted.contains_key(*scope))
+            .cloned()
+            .collect();
+        for scope in gone {
+            told.scopes.swap_remove(&scope);
+            told.released.swap_remove(&scope);
+            changes.push(lane::Change::Release { scope, to: None });
+        }
+        for (scope, wanted) in wanted {
+            changes.extend(told.take_in(scope, wanted));
+        }
+        if !told.pending.is_empty() {
+            self.wake.notify_one();
+        }
+        changes
+    }
+
+    fn take_pending(&self) -> Vec<Change> {
+        mem::take(&mut self.lock().pending)
+    }
+
+    /// Puts back changes whose order failed, unless something newer was decided meanwhile.
+    fn put_back(&self, changes: Vec<Change>) {
+        let mut told = self.lock();
+        let still_wanted = |change: &Change| match change {
+            Change::Grant { scope, token, .. } => {
+                told.scopes.get(scope).is_some_and(|line| line.token == *token)
+            }
+            Change::Revoke { scope, .. } => told.scopes.contains_key(scope),
+        };
+        let mut kept: Vec<Change> = changes.into_iter().filter(still_wanted).collect();
+        kept.append(&mut told.pending);
+        told.pending = kept;
+        self.wake.notify_one();
+    }
+}
+
+impl Told {
+    fn take_in(&mut self, scope: &owners::Scope, wanted: &Wanted) -> Option<lane::Change> {
+        let line = Line {
+            token: wanted.owner.token,
+            moving: wanted.owner.moving,
+        };
+        let known = self.scopes.insert(scope.clone(), line);
+        let scope = scope.clone();
+        match known {
+            Some(known) if known == line => None,
+            Some(known) if known.token == line.token && line.moving => {
+                Some(lane::Change::Hold { scope })
+            }
+            Some(known) if known.token == line.token => {
+                // The move was given up; if the target gave the grant back, it gets it again.
+                if self.released.swap_remove(&scope).is_some() {
+                    self.grant(scope, wanted);
+                    return None;
+                }
+                Some(lane::Change::Resume { scope })
+            }
+            _ if line.moving => {
+                // Moving before this lane knew it: the target has no grant from this lane.
+                let release = release(&scope, line.token);
+                self.pending.push(Change::Revoke { scope, release });
+                None
+            }
+            _ => {
+                self.released.swap_remove(&scope);
+                self.grant(scope, wanted);
+                None
+            }
+        }
+    }
+
+    fn grant(&mut self, scope: owners::Scope, wanted: &Wanted) {
+        self.pending.push(Change::Grant {
+            scope,
+            token: wanted.owner.token,
+            earlier: wanted.earlier.clone(),
+        });
+    }
+}
+
+fn release(scope: &owners::Scope, token: id::Token) -> report::Release {
+    let key = match scope {
+        owners::Scope::Shard(_) => None,
+        owners::Scope::Pin { key, .. } => Some(key.clone()),
+    };
+    report::Release {
+        shard: scope.shard(),
+        key,
+        token,
+    }
+}
+
+/// Revokes at the target what the lane released, and then tells control.
+pub fn revoke(
+    _shared: &sync::Arc<shared::Shared>,
+    runtime: &sync::Arc<runtime::Runtime>,
+    release: report::Release,
+) {
+    let scope = match &release.key {
+        None => owners::Scope::Shard(release.shard),
+        Some(key) => owners::Scope::Pin {
+            shard: release.shard,
+            key: key.clone(),
+        },
+    };
+    let mut told = runtime.grants.lock();
+    told.pending.push(Change::Revoke { scope, release });
+    runtime.grants.wake.notify_one();
+}
+
+/// Sends orders to the target until the lane is closed.
+pub async fn work(shared: sync::Arc<shared::Shared>, runtime: sync::Arc<runtime::Runtime>) {
+    loop {
+        runtime.grants.wake.notified().await;
+        if runtime.grants.lock().closed {
+            return;
+        }
+        let changes = runtime.grants.take_pending();
+        if changes.is_empty() {
+            continue;
+        }
+        let order = order(runtime.token(), &changes);
+        if send(&runtime, &order).await {
+            confirmed(&shared, &runtime, changes).await;
+        } else {
+            metrics::counter!("yucca_orders_failed_total").increment(1);
+            time::sleep(RETRY_PAUSE).await;
+            runtime.grants.put_back(changes);
+        }
+    }
+}
+
+fn order(token: id::Token, changes: &[Change]) -> grant::Order {
+    let mut order = grant::Order {
+        token,
+        granted: Vec::new(),
+        revoked: Vec::new(),
+        pinned: Vec::new(),
+        unpinned: Vec::new(),
+    };
+    for change in changes {
+        let (scope, token, shards, pins) = match change {
+            Change::Grant { scope, token, .. } => {
+                (scope, *token, &mut order.granted, &mut order.pinned)
+            }
+            Change::Revoke { scope, release } => {
+                (scope, release.token, &mut order.revoked, &mut order.unpinned)
+            }
+        };
+        match scope {
+            owners::Scope::Shard(shard) => shards.push(grant::Shard {
+                shard: *shard,
+                token,
+            }),
+            owners::Scope::Pin { key, .. } => pins.push(grant::Pin {
+                key: key.clone(),
+                token,
+            }),
+        }
+    }
+    order
+}
+
+/// Sends one order; tells whether the target took it.
+async fn send(runtime: &sync::Arc<runtime::Runtime>, order: &grant::Order) -> bool {
+    let Ok(text) = serde_json::to_vec(order) else {
+        return false;
+    };
+    let exchange = async {
+        let mut connection = runtime.pool.dial().await.ok()?;
+        let mut request = http::Request::new(body::full(Bytes::from(text)));
+        *request.method_mut() = http::Method::POST;
+        *request.uri_mut() = http::Uri::from_static(grant::PATH);
+        let headers = request.headers_mut();
+        headers.insert(http::header::HOST, http::HeaderValue::from_static("target"));
+        headers.insert(
+            http::header::CONTENT_TYPE,
+            http::HeaderValue::from_static("application/json"),
+        );
+        if let Ok(token) = http::HeaderValue::from_str(&order.token.to_string()) {
+            headers.insert(grant::TOKEN_HEADER, token);
+        }
+        connection.send(request).await.ok()
+    };
+    match time::timeout(ORDER_TIMEOUT, exchange).await {
+        // A target without grants answers 404; it serves what it is sent.
+        Ok(Some(response)) => {
+            response.status().is_success() || response.status() == http::StatusCode::NOT_FOUND
+        }
+        Ok(None) | Err(_) => false,
+    }
+}
+
+async fn confirmed(
+    shared: &sync::Arc<shared::Shared>,
+    runtime: &sync::Arc<runtime::Runtime>,
+    changes: Vec<Change>,
+) {
+    for change in changes {
+        match change {
+            Change::Grant {
+                scope,
+                token,
+                earlier,
+            } => {
+                let entries = match earlier {
+                    Some(earlier) => message::entries(shared, &earlier, scope.shard()).await,
+                    None => None,
+                };
+                let entries = entries.unwrap_or_default();
+                let change = lane::Change::Grant {
+                    scope,
+                    token,
+                    entries,
+                };
+                runtime.step(shared, lane::Input::Owners(change));
+            }
+            Change::Revoke { scope, release } => {
+                let mut told = runtime.grants.lock();
+                if told.scopes.contains_key(&scope) {
+                    told.released.insert(scope, release);
+                }
+                drop(told);
+                shared.announced.urgent.notify_one();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/yucca-entry/src/process/lanes/message.rs
@@ -0,0 +1,256 @@
+//! Messages between the hosts of a lane: copies of the ledger, takeovers and handovers.
+
+use std::sync;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use serde::{Deserialize, Serialize};
+use tokio::time;
+use yucca_lane::lane;
+use yucca_lane::ledger;
+use yucca_lane::standby;
+use yucca_wire::codec;
+use yucca_wire::id;
+
+use crate::process::lanes::runtime;
+use crate::process::shared;
+use crate::request::body;
+
+/// How long a message to a host of the same domain may take.
+const TIMEOUT: Duration = Duration::from_millis(200);
+
+/// How long a lane that handed over may hold slots; its longest request ends before.
+const FOREIGN_LIMIT: Duration = Duration::from_secs(60);
+
+/// The path on which a host hears these messages.
+pub const PATH: &str = "/lane/message";
+
+/// A message about the lane of a target.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// The target.
+    pub target: id::Target,
+    /// The fencing token of the lane that sends it.
+    pub token: id::Token,
+    /// What it says.
+    pub kind: Kind,
+}
+
+/// What a message says.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Kind {
+    /// To the standby: write this entry and give leave to send.
+    Copy(ledger::Entry),
+    /// To the standby: here is the whole ledger.
+    CopyAll {
+        /// The number of the copy.
+        number: u64,
+        /// The ledger.
+        entries: Vec<ledger::Entry>,
+    },
+    /// To whom knows the request as perhaps run: this became of it.
+    Settle(ledger::Entry),
+    /// To the host that takes the lane over in a planned stop.
+    HandOver {
+        /// The ledger.
+        entries: Vec<ledger::Entry>,
+        /// How many slots the sender still holds.
+        held: id::Slots,
+    },
+    /// The sender of a handover still holds so many slots.
+    Held(id::Slots),
+    /// To the lane of a shard's earlier owner: what does the ledger hold of it?
+    Entries(id::Shard),
+}
+
+/// The answer to a message.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Reply {
+    /// Done; for a copy: leave to send.
+    Done,
+    /// Leave is not given: the sender's lane was taken over.
+    TakenOver,
+    /// Leave is not given: the whole ledger is needed first.
+    NoCopy,
+    /// Leave is not given: there is no room.
+    Full,
+    /// Leave is not given: a newer entry of the id is known.
+    Stale,
+    /// The ledger's entries of a shard.
+    Entries(Vec<ledger::Entry>),
+    /// The receiver knows nothing of the lane.
+    NotHere,
+}
+
+impl Reply {
+    /// Returns the reply of a standby that gives no leave.
+    pub fn refused(reason: lane::Reason) -> Self {
+        match reason {
+            lane::Reason::TakenOver => Self::TakenOver,
+            lane::Reason::NoCopy => Self::NoCopy,
+            lane::Reason::Full => Self::Full,
+            lane::Reason::Stale => Self::Stale,
+            lane::Reason::Unreachable => Self::NotHere,
+        }
+    }
+
+    fn reason(&self) -> lane::Reason {
+        match self {
+            Self::TakenOver => lane::Reason::TakenOver,
+            Self::NoCopy => lane::Reason::NoCopy,
+            Self::Full => lane::Reason::Full,
+            Self::Stale => lane::Reason::Stale,
+            Self::Done | Self::Entries(_) | Self::NotHere => lane::Reason::Unreachable,
+        }
+    }
+}
+
+/// Carries an output of a lane to another host and the reply back to the lane.
+pub async fn carry(
+    shared: &sync::Arc<shared::Shared>,
+    runtime: &sync::Arc<runtime::Runtime>,
+    output: lane::Output,
+) {
+    match output {
+        lane::Output::Copy { standby, entry } => {
+            let (id, seq) = (entry.id, entry.seq);
+            let reply = send(shared, runtime, &standby, Kind::Copy(entry)).await;
+            let input = match reply {
+                Some(Reply::Done) => lane::Input::Leave { id, seq },
+                other => lane::Input::NoLeave {
+                    id,
+                    seq,
+                    reason: other.map_or(lane::Reason::Unreachable, |reply| reply.reason()),
+                },
+            };
+            runtime.step(shared, input);
+        }
+        lane::Output::CopyAll {
+            standby,
+            number,
+            entries,
+        } => {
+            let kind = Kind::CopyAll { number, entries };
+            if let Some(Reply::Done) = send(shared, runtime, &standby, kind).await {
+                runtime.step(shared, lane::Input::Copied { standby, number });
+            }
+        }
+        lane::Output::Settle { to, entry } => {
+            send(shared, runtime, &to, Kind::Settle(entry)).await;
+        }
+        lane::Output::HandLedger { to, entries, held } => {
+            send(shared, runtime, &to, Kind::HandOver { entries, held }).await;
+        }
+        lane::Output::Held { to, slots } => {
+            send(shared, runtime, &to, Kind::Held(slots)).await;
+        }
+        _ => {}
+    }
+}
+
+async fn send(
+    shared: &sync::Arc<shared::Shared>,
+    runtime: &sync::Arc<runtime::Runtime>,
+    to: &id::Host,
+    kind: Kind,
+) -> Option<Reply> {
+    let message = Message {
+        target: runtime.target().clone(),
+        token: runtime.token(),
+        kind,
+    };
+    post(shared, to, &message).await
+}
+
+async fn post(
+    shared: &sync::Arc<shared::Shared>,
+    to: &id::Host,
+    message: &Message,
+) -> Option<Reply> {
+    if *to == shared.settings.host {
+        return Some(answer(shared, message.clone()));
+    }
+    let address = shared.current.load().table.peer(to)?;
+    let frame = codec::encode(shared.deployment, message).ok()?;
+    let exchange = async {
+        let posted = shared.peers.post(address, PATH, body::full(frame)).await;
+        let collected = posted.ok()?.into_body().collect().await.ok()?;
+        codec::decode(shared.deployment, &collected.to_bytes()).ok()
+    };
+    time::timeout(TIMEOUT, exchange).await.ok().flatten()
+}
+
+/// Asks the lane of a shard's earlier owner what its ledger holds of the shard.
+///
+/// Returns none where no answer came: then what ran there is not known.
+pub async fn entries(
+    shared: &sync::Arc<shared::Shared>,
+    earlier: &id::Target,
+    shard: id::Shard,
+) -> Option<Vec<ledger::Entry>> {
+    let view = shared.current.load();
+    let host = view.target(earlier)?.1.lane.clone()?;
+    drop(view);
+    let message = Message {
+        target: earlier.clone(),
+        token: id::Token::default(),
+        kind: Kind::Entries(shard),
+    };
+    match post(shared, &host, &message).await? {
+        Reply::Entries(entries) => Some(entries),
+        _ => None,
+    }
+}
+
+/// Answers a message.
+pub fn answer(shared: &sync::Arc<shared::Shared>, message: Message) -> Reply {
+    let Message {
+        target,
+        token,
+        kind,
+    } = message;
+    let standbys = &shared.lanes.standbys;
+    let now = shared.now();
+    match kind {
+        Kind::Copy(entry) => standbys.step(&target, standby::Input::Copy { token, entry }, now),
+        Kind::CopyAll { number, entries } => {
+            let input = standby::Input::CopyAll {
+                token,
+                number,
+                entries,
+            };
+            standbys.step(&target, input, now)
+        }
+        Kind::Settle(entry) => {
+            if let Some(runtime) = shared.lanes.get(&target) {
+                runtime.step(shared, lane::Input::Settled { entry });
+                return Reply::Done;
+            }
+            standbys.step(&target, standby::Input::Settle { token, entry }, now)
+        }
+        Kind::HandOver { entries, held } => {
+            let takeover = lane::Takeover {
+                entries,
+                whole: true,
+                foreign: held,
+                foreign_until: now + FOREIGN_LIMIT,
+            };
+            match shared.lanes.get(&target) {
+                Some(runtime) => runtime.step(shared, lane::Input::TakeOver(takeover)),
+                None => standbys.keep(&target, takeover),
+            }
+            Reply::Done
+        }
+        Kind::Held(slots) => {
+            if let Some(runtime) = shared.lanes.get(&target) {
+                let until = now + FOREIGN_LIMIT;
+                runtime.step(shared, lane::Input::Foreign { slots, until });
+            }
+            Reply::Done
+        }
+        Kind::Entries(shard) => match shared.lanes.get(&target) {
+            Some(runtime) => Reply::Entries(runtime.entries(shard)),
+            None => Reply::NotHere,
+        },
+    }
+}
--- /dev/null
+++ b/crates/yucca-entry/src/process/lanes/reconcile.rs
@@ -0,0 +1,249 @@
+//! Brings the lanes of this host in line with the current version.
+
+use std::sync;
+
+use indexmap::IndexMap;
+use yucca_lane::lane;
+use yucca_lane::owners;
+use yucca_wire::id;
+use yucca_wire::table;
+
+use crate::process::lanes::grants;
+use crate::process::lanes::runtime;
+use crate::process::lanes::standbys;
+use crate::process::shared;
+use crate::version::view;
+
+/// Brings the lanes of this host in line with the current version.
+///
+/// `earlier` is the version that was in force before.
+pub fn reconcile(shared: &sync::Arc<shared::Shared>, earlier: &table::Table) {
+    let view = shared.current.load();
+    let Some(local) = view.table.locals.get(&shared.settings.domain) else {
+        return;
+    };
+    let mine: IndexMap<&id::Target, &table::Target> = local
+        .targets
+        .iter()
+        .filter(|(_, target)| target.lane.as_ref() == Some(&shared.settings.host))
+        .collect();
+    close_others(shared, local, &mine);
+    for (name, target) in &mine {
+        open_or_configure(shared, &view, earlier, name, target);
+    }
+    share_out(shared, &view, local, earlier);
+    let known = |target: &id::Target| view.target(target).is_some();
+    shared.loads.retain(known);
+    shared.lanes.standbys.retain(known);
+}
+
+fn close_others(
+    shared: &sync::Arc<shared::Shared>,
+    local: &table::Local,
+    mine: &IndexMap<&id::Target, &table::Target>,
+) {
+    for runtime in shared.lanes.all() {
+        if mine.contains_key(runtime.target()) {
+            continue;
+        }
+        let next = local.targets.get(runtime.target());
+        match next.and_then(|target| target.lane.clone()) {
+            Some(to) => runtime.hand_over(shared, to),
+            None if runtime.is_idle() => {
+                runtime.grants.close();
+                shared.lanes.lock().swap_remove(runtime.target());
+            }
+            None => {}
+        }
+    }
+}
+
+fn open_or_configure(
+    shared: &sync::Arc<shared::Shared>,
+    view: &view::View,
+    earlier: &table::Table,
+    name: &id::Target,
+    target: &table::Target,
+) {
+    let Some(service) = view.table.global.services.get(&target.service) else {
+        return;
+    };
+    let hosts = view.table.global.domains.get(&shared.settings.domain);
+    let single_host = hosts.is_none_or(|domain| domain.hosts.len() <= 1);
+    let config = config(name, target, service, single_host);
+    let drained = view.table.global.drains.get(&target.service);
+    let drain = target.state != table::State::Serving
+        || drained.is_some_and(|drained| drained.contains(name));
+    let known = shared.lanes.get(name);
+    if let Some(runtime) = &known
+        && runtime.token() == target.token
+        && runtime.pool.address() == target.address
+    {
+        runtime.configure(shared, config, drain);
+        return;
+    }
+    let earlier = earlier_lane(earlier, &shared.settings.domain, name);
+    open(shared, Opening { name, target, service, earlier }, config, known);
+}
+
+fn config(
+    name: &id::Target,
+    target: &table::Target,
+    service: &table::Service,
+    single_host: bool,
+) -> lane::Config {
+    lane::Config {
+        target: name.clone(),
+        token: target.token,
+        slots: target.slots,
+        limits: service.limits.clone(),
+        retry: service.retry.clone(),
+        standby: target.standby.clone(),
+        single_host,
+        warm: target.warm,
+        ledger_window: standbys::LEDGER_WINDOW,
+        ledger_entries: standbys::LEDGER_ENTRIES,
+        blind: false,
+        keyed: matches!(service.kind, table::Kind::Keyed { .. }),
+        stops_on_close: true,
+        lease: None,
+        seed: target.token.version,
+    }
+}
+
+/// A lane that opens at this host.
+struct Opening<'a> {
+    name: &'a id::Target,
+    target: &'a table::Target,
+    service: &'a table::Service,
+    earlier: Option<id::Token>,
+}
+
+/// Returns the token of the lane that a target had in an earlier version.
+fn earlier_lane(
+    earlier: &table::Table,
+    domain: &id::Domain,
+    name: &id::Target,
+) -> Option<id::Token> {
+    let target = earlier.locals.get(domain)?.targets.get(name)?;
+    target.lane.as_ref().map(|_| target.token)
+}
+
+fn open(
+    shared: &sync::Arc<shared::Shared>,
+    opening: Opening<'_>,
+    config: lane::Config,
+    known: Option<sync::Arc<runtime::Runtime>>,
+) {
+    let Opening {
+        name,
+        target,
+        service,
+        earlier,
+    } = opening;
+    let shards = match &service.kind {
+        table::Kind::Keyed { shards, .. } => Some(*shards),
+        table::Kind::Pool => None,
+    };
+    let config = lane::Config {
+        blind: earlier.is_some(),
+        ..config
+    };
+    let lane = lane::Lane::new(config.clone(), shared.now());
+    let runtime = sync::Arc::new(runtime::Runtime::new(name, target, shards, lane, config));
+    let kept = match known {
+        Some(known) => {
+            known.grants.close();
+            Some(known.takeover(shared.now()))
+        }
+        None => earlier.and_then(|token| {
+            shared.lanes.standbys.take_over(name, token, shared.now())
+        }),
+    };
+    if let Some(kept) = kept {
+        runtime.step(shared, lane::Input::TakeOver(kept));
+    }
+    shared
+        .lanes
+        .lock()
+        .insert(name.clone(), sync::Arc::clone(&runtime));
+    tokio::spawn(grants::work(
+        sync::Arc::clone(shared),
+        sync::Arc::clone(&runtime),
+    ));
+    let warmed = sync::Arc::clone(&runtime);
+    tokio::spawn(async move { warmed.pool.warm().await });
+    runtime.step(shared, lane::Input::Tick);
+    log::info!(
+        "host {} holds the lane of {name} under token {}",
+        shared.settings.host,
+        target.token
+    );
+}
+
+/// Tells each lane what its target owns.
+fn share_out(
+    shared: &sync::Arc<shared::Shared>,
+    view: &view::View,
+    local: &table::Local,
+    earlier: &table::Table,
+) {
+    let mut wanted: IndexMap<id::Target, IndexMap<owners::Scope, grants::Wanted>> = shared
+        .lanes
+        .all()
+        .iter()
+        .map(|runtime| (runtime.target().clone(), IndexMap::new()))
+        .collect();
+    for (service, owned) in &local.owners {
+        for (shard, owner) in owned.iter() {
+            let Some(scopes) = wanted.get_mut(&owner.target) else {
+                continue;
+            };
+            let before = earlier_owner(earlier, service, *shard);
+            let earlier = before.filter(|before| **before != owner.target);
+            let wanted = grants::Wanted {
+                owner: owner.clone(),
+                earlier: earlier.cloned(),
+            };
+            scopes.insert(owners::Scope::Shard(*shard), wanted);
+        }
+    }
+    for (service, pins) in &local.pins {
+        let Some(table::Service {
+            kind: table::Kind::Keyed { shards, .. },
+            ..
+        }) = view.table.global.services.get(service)
+        else {
+            continue;
+        };
+        for (key, owner) in pins {
+            if let Some(scopes) = wanted.get_mut(&owner.target) {
+                let scope = owners::Scope::Pin {
+                    shard: yucca_wire::key::shard(key, *shards),
+                    key: key.clone(),
+                };
+                let wanted = grants::Wanted {
+                    owner: owner.clone(),
+                    earlier: None,
+                };
+                scopes.insert(scope, wanted);
+            }
+        }
+    }
+    for runtime in shared.lanes.all() {
+        if let Some(scopes) = wanted.get(runtime.target()) {
+            for change in runtime.grants.compare(scopes) {
+                runtime.step(shared, lane::Input::Owners(change));
+            }
+        }
+    }
+}
+
+fn earlier_owner<'a>(
+    table: &'a table::Table,
+    service: &id::Service,
+    shard: id::Shard,
+) -> Option<&'a id::Target> {
+    let mut locals = table.locals.values();
+    locals.find_map(|local| Some(&local.owners.get(service)?.get(&shard)?.target))
+}
--- /dev/null
+++ b/crates/yucca-entry/src/process/lanes/standbys.rs
@@ -0,0 +1,80 @@
+//! The ledgers that this host keeps as a standby, and what earlier lanes handed over to it.
+
+use std::sync;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use yucca_lane::lane;
+use yucca_lane::standby;
+use yucca_wire::id;
+
+use crate::process::lanes::message;
+
+/// How long the fate of a non-idempotent request is remembered.
+pub const LEDGER_WINDOW: Duration = Duration::from_secs(10 * 60);
+
+/// The most requests of one lane whose fate is remembered.
+pub const LEDGER_ENTRIES: usize = 100_000;
+
+/// The ledgers that this host keeps as a standby.
+#[derive(Default)]
+pub struct Standbys {
+    // Before one lane's state in the lock order, after the registry of lanes.
+    kept: sync::Mutex<IndexMap<id::Target, Kept>>,
+}
+
+struct Kept {
+    standby: standby::Standby,
+    handed: Option<lane::Takeover>,
+}
+
+impl Default for Kept {
+    fn default() -> Self {
+        Self {
+            standby: standby::Standby::new(LEDGER_WINDOW, LEDGER_ENTRIES),
+            handed: None,
+        }
+    }
+}
+
+impl Standbys {
+    fn lock(&self) -> sync::MutexGuard<'_, IndexMap<id::Target, Kept>> {
+        self.kept.lock().unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Takes in what a lane asks of its standby.
+    pub fn step(&self, target: &id::Target, input: standby::Input, now: Duration) -> message::Reply {
+        let mut kept = self.lock();
+        let kept = kept.entry(target.clone()).or_default();
+        match kept.standby.step(input, now) {
+            None | Some(standby::Output::Copied { .. } | standby::Output::Leave { .. }) => {
+                message::Reply::Done
+            }
+            Some(standby::Output::NoLeave { reason, .. }) => message::Reply::refused(reason),
+        }
+    }
+
+    /// Keeps what an earlier lane hands over until the lane opens here.
+    pub fn keep(&self, target: &id::Target, takeover: lane::Takeover) {
+        self.lock().entry(target.clone()).or_default().handed = Some(takeover);
+    }
+
+    /// Ends the lane with token `earlier`, which gets no more leave, and returns what is known
+    /// of its work: what it handed over, or the standby's copy.
+    pub fn take_over(
+        &self,
+        target: &id::Target,
+        earlier: id::Token,
+        now: Duration,
+    ) -> Option<lane::Takeover> {
+        let mut kept = self.lock();
+        let kept = kept.get_mut(target)?;
+        let copied = kept.standby.take_over(earlier, now);
+        kept.handed.take().or(Some(copied))
+    }
+
+    /// Forgets the targets for which `keep` is false.
+    pub fn retain(&self, keep: impl Fn(&id::Target) -> bool) {
+        self.lock().retain(|target, _| keep(target));
+    }
+}
--- /dev/null
+++ b/crates/yucca-entry/src/process/listen.rs
@@ -0,0 +1,153 @@
+//! Accepts connections and serves them until the process stops.
+
+use std::convert::Infallible;
+use std::future::Future;
+use std::io;
+use std::net;
+use std::sync;
+
+use hyper::service;
+use hyper_util::rt;
+use hyper_util::server::conn::auto;
+use hyper_util::server::graceful;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+use crate::process::shared;
+use crate::request::body;
+
+/// The flow-control window of one stream, in bytes.
+const STREAM_WINDOW: u32 = 256 << 10;
+
+/// The flow-control window of a connection, in bytes.
+const CONNECTION_WINDOW: u32 = 4 << 20;
+
+/// The most streams of one HTTP/2 connection.
+const MAX_STREAMS: u32 = 1024;
+
+/// A bound listener.
+pub struct Listener {
+    socket: TcpListener,
+    /// The address that it is bound to.
+    pub address: net::SocketAddr,
+}
+
+impl Listener {
+    /// Binds an address; port 0 lets the system choose.
+    ///
+    /// # Errors
+    /// Fails where the address cannot be bound.
+    pub async fn bind(address: net::SocketAddr) -> io::Result<Self> {
+        let socket = TcpListener::bind(address).await?;
+        let address = socket.local_addr()?;
+        Ok(Self { socket, address })
+    }
+}
+
+/// The limits of the connections of a listener.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// The largest head of a request, in bytes.
+    pub head_bytes: usize,
+    /// The longest that an HTTP/1 client may take to send a head.
+    pub head_timeout: std::time::Duration,
+}
+
+/// Serves a listener with `handle` until `phase` says stop; then finishes what is in flight.
+///
+/// Stops at once where the phase becomes [`shared::Phase::Stopped`].
+pub async fn serve<H, F>(
+    listener: Listener,
+    limits: Limits,
+    mut phase: watch::Receiver<shared::Phase>,
+    stop_at: shared::Phase,
+    handle: H,
+) where
+    H: Fn(http::Request<hyper::body::Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = http::Response<body::Stream>> + Send + 'static,
+{
+    let connections = graceful::GracefulShutdown::new();
+    let builder = builder(limits);
+    loop {
+        tokio::select! {
+            accepted = listener.socket.accept() => {
+                let Ok((stream, _)) = accepted else { continue };
+                let _ = stream.set_nodelay(true);
+                let handle = handle.clone();
+                let service = service::service_fn(move |request| {
+                    let answered = handle(request);
+                    async move { Ok::<_, Infallible>(answered.await) }
+                });
+                let connection = builder
+                    .serve_connection(rt::TokioIo::new(stream), service)
+                    .into_owned();
+                let watched = connections.watch(connection);
+                let ended = phase.clone();
+                tokio::spawn(run(watched, ended));
+            }
+            () = reached(&mut phase, stop_at) => break,
+        }
+    }
+    drop(listener);
+    tokio::select! {
+        () = connections.shutdown() => {}
+        () = reached(&mut phase, shared::Phase::Stopped) => {}
+    }
+}
+
+async fn run<F>(connection: F, mut phase: watch::Receiver<shared::Phase>)
+where
+    F: Future<Output = Result<(), Box<dyn std::error::Error + Send + Sync>>>,
+{
+    tokio::select! {
+        result = connection => {
+            if result.is_err() {
+                metrics::counter!("yucca_inbound_connections_failed_total").increment(1);
+            }
+        }
+        () = reached(&mut phase, shared::Phase::Stopped) => {}
+    }
+}
+
+async fn reached(phase: &mut watch::Receiver<shared::Phase>, wanted: shared::Phase) {
+    let order = |phase: shared::Phase| match phase {
+        shared::Phase::Starting => 0,
+        shared::Phase::Ready => 1,
+        shared::Phase::Stopping => 2,
+        shared::Phase::Stopped => 3,
+    };
+    // The sender lives as long as the process; an error means that it is gone, so stop as well.
+    let _ = phase.wait_for(|now| order(*now) >= order(wanted)).await;
+}
+
+fn builder(limits: Limits) -> auto::Builder<rt::TokioExecutor> {
+    let mut builder = auto::Builder::new(rt::TokioExecutor::new());
+    builder
+        .http1()
+        .timer(rt::TokioTimer::new())
+        .header_read_timeout(limits.head_timeout)
+        .max_buf_size(limits.head_bytes.max(8 << 10));
+    builder
+        .http2()
+        .timer(rt::TokioTimer::new())
+        .max_header_list_size(u32::try_from(limits.head_bytes).unwrap_or(u32::MAX))
+        .max_concurrent_streams(MAX_STREAMS)
+        .initial_stream_window_size(STREAM_WINDOW)
+        .initial_connection_window_size(CONNECTION_WINDOW)
+        .keep_alive_interval(std::time::Duration::from_secs(10))
+        .keep_alive_timeout(std::time::Duration::from_secs(5));
+    builder
+}
+
+/// Returns a shared handler's future with its own reference to the process.
+pub fn with<F>(
+    shared: &sync::Arc<shared::Shared>,
+    handle: impl Fn(sync::Arc<shared::Shared>, http::Request<hyper::body::Incoming>) -> F
+    + Clone
+    + Send
+    + Sync
+    + 'static,
+) -> impl Fn(http::Request<hyper::body::Incoming>) -> F + Clone + Send + Sync + 'static {
+    let shared = sync::Arc::clone(shared);
+    move |request| handle(sync::Arc::clone(&shared), request)
+}
--- /dev/null
+++ b/crates/yucca-entry/src/process/running.rs
@@ -0,0 +1,245 @@
+//! Starts and stops an entry process.
+
+use std::fmt;
+use std::io;
+use std::net;
+use std::sync;
+use std::time::Duration;
+
+use metrics_exporter_prometheus::PrometheusHandle;
+use tokio::task::JoinSet;
+use tokio::time;
+
+use crate::process::announce;
+use crate::process::balancer;
+use crate::process::callers;
+use crate::process::lanes;
+use crate::process::listen;
+use crate::process::peer;
+use crate::process::shared;
+use crate::settings;
+use crate::version::sync as reports;
+
+/// The largest head of a message between our own processes, in bytes.
+const PEER_HEAD_BYTES: usize = 64 << 10;
+
+/// The longest that a client may take to send a head.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Why an entry process could not start.
+#[derive(Debug)]
+pub enum Error {
+    /// An address could not be bound.
+    Bind {
+        /// The setting that names the address.
+        setting: &'static str,
+        /// The address.
+        address: net::SocketAddr,
+        /// What the system reported.
+        source: io::Error,
+    },
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Bind {
+                setting,
+                address,
+                source,
+            } => write!(
+                f,
+                "cannot listen on {address}: {source}; change `{setting}` in the settings"
+            ),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Where a process listens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// For callers.
+    pub callers: net::SocketAddr,
+    /// For other entry hosts.
+    pub peer: net::SocketAddr,
+    /// For the platform's balancer.
+    pub balancer: net::SocketAddr,
+    /// For targets that announce themselves.
+    pub announce: net::SocketAddr,
+}
+
+/// A running entry process.
+pub struct Process {
+    shared: sync::Arc<shared::Shared>,
+    addresses: Addresses,
+    tasks: JoinSet<()>,
+}
+
+/// The listeners of a process that is about to start; their addresses are known.
+pub struct Bound {
+    settings: settings::Settings,
+    callers: listen::Listener,
+    peer: listen::Listener,
+    balancer: listen::Listener,
+    announce: listen::Listener,
+}
+
+async fn bind(
+    setting: &'static str,
+    address: net::SocketAddr,
+) -> Result<listen::Listener, Error> {
+    let bound = listen::Listener::bind(address).await;
+    bound.map_err(|source| Error::Bind {
+        setting,
+        address,
+        source,
+    })
+}
+
+impl Bound {
+    /// Binds the listeners that the settings name.
+    ///
+    /// # Errors
+    /// Fails where an address cannot be bound.
+    pub async fn bind(settings: settings::Settings) -> Result<Self, Error> {
+        Ok(Self {
+            callers: bind("callers", settings.callers).await?,
+            peer: bind("peer", settings.peer).await?,
+            balancer: bind("balancer", settings.balancer).await?,
+            announce: bind("announce", settings.announce).await?,
+            settings,
+        })
+    }
+
+    /// Returns where the process will listen.
+    pub fn addresses(&self) -> Addresses {
+        Addresses {
+            callers: self.callers.address,
+            peer: self.peer.address,
+            balancer: self.balancer.address,
+            announce: self.announce.address,
+        }
+    }
+
+    /// Sets the control processes, where they were not known before the listeners were bound.
+    pub fn set_control(&mut self, control: Vec<net::SocketAddr>) {
+        self.settings.control = control;
+    }
+
+    /// Starts the process.
+    pub fn start(self, recorder: Option<PrometheusHandle>) -> Process {
+        Process::run(self, recorder)
+    }
+}
+
+impl Process {
+    /// Binds the listeners and starts the process.
+    ///
+    /// # Errors
+    /// Fails where an address cannot be bound.
+    pub async fn start(settings: settings::Settings) -> Result<Self, Error> {
+        Ok(Bound::bind(settings).await?.start(None))
+    }
+
+    fn run(bound: Bound, recorder: Option<PrometheusHandle>) -> Self {
+        let addresses = bound.addresses();
+        let shared = sync::Arc::new(shared::Shared::new(bound.settings));
+        let mut tasks = JoinSet::new();
+        let limits = listen::Limits {
+            head_bytes: shared.settings.head_limit.0 as usize,
+            head_timeout: HEAD_TIMEOUT,
+        };
+        let wide = listen::Limits {
+            head_bytes: PEER_HEAD_BYTES,
+            ..limits
+        };
+        let phase = || shared.phase.subscribe();
+        tasks.spawn(listen::serve(
+            bound.callers,
+            limits,
+            phase(),
+            shared::Phase::Stopping,
+            listen::with(&shared, callers::serve),
+        ));
+        // Peers and the balancer are heard until the end: lanes still finish work for others.
+        tasks.spawn(listen::serve(
+            bound.peer,
+            wide,
+            phase(),
+            shared::Phase::Stopped,
+            listen::with(&shared, peer::serve),
+        ));
+        tasks.spawn(listen::serve(
+            bound.announce,
+            limits,
+            phase(),
+            shared::Phase::Stopped,
+            listen::with(&shared, announce::serve),
+        ));
+        let probed = sync::Arc::clone(&shared);
+        tasks.spawn(listen::serve(
+            bound.balancer,
+            limits,
+            phase(),
+            shared::Phase::Stopped,
+            move |request| {
+                let answer = balancer::serve(&probed, recorder.as_ref(), request.uri().path());
+                std::future::ready(answer)
+            },
+        ));
+        tasks.spawn(reports::run(sync::Arc::clone(&shared), rand::random()));
+        tasks.spawn(lanes::tick(sync::Arc::clone(&shared)));
+        Self {
+            shared,
+            addresses,
+            tasks,
+        }
+    }
+
+    /// Returns where the process listens.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Waits until the process serves.
+    pub async fn ready(&self) {
+        let mut phase = self.shared.phase.subscribe();
+        let _ = phase
+            .wait_for(|phase| *phase != shared::Phase::Starting)
+            .await;
+    }
+
+    /// Returns the version in force at this host.
+    pub fn versions(&self) -> crate::version::current::Versions {
+        self.shared.current.versions()
+    }
+
+    /// Stops gracefully: takes no new callers, hands lanes over, finishes what is in flight.
+    ///
+    /// Returns how many requests were cut off when the limit in the settings passed.
+    pub async fn stop(mut self) -> usize {
+        self.shared.phase.send_replace(shared::Phase::Stopping);
+        log::info!("host {} stops", self.shared.settings.host);
+        let limit = time::Instant::now() + self.shared.settings.stop_limit.0;
+        let _ = time::timeout_at(limit, lanes::drained(&self.shared)).await;
+        let left = self
+            .shared
+            .in_flight
+            .load(sync::atomic::Ordering::Relaxed);
+        if left > 0 {
+            metrics::counter!("yucca_stop_cut_off_total").increment(left as u64);
+            log::warn!("{left} requests were cut off at the limit of the stop");
+        }
+        self.shared.phase.send_replace(shared::Phase::Stopped);
+        while self.tasks.join_next().await.is_some() {}
+        left
+    }
+
+    /// Ends the process at once, as a crash would.
+    pub fn abort(mut self) {
+        self.shared.phase.send_replace(shared::Phase::Stopped);
+        self.tasks.abort_all();
+    }
+}
--- /dev/null
+++ b/crates/yucca-entry/src/request.rs
@@ -0,0 +1,8 @@
+//! What lives for one request.
+
+pub mod answer;
+pub mod body;
+pub mod choose;
+pub mod fields;
+pub mod forward;
+pub mod parse;
--- /dev/null
+++ b/crates/yucca-entry/src/version/view.rs
@@ -0,0 +1,69 @@
+//! One version of the routing table, with what is derived from it for fast lookup.
+
+use yucca_wire::id;
+use yucca_wire::table;
+
+/// One version of the routing table.
+#[derive(Debug, Default)]
+pub struct View {
+    /// The table.
+    pub table: table::Table,
+    prefixes: Vec<Prefix>,
+}
+
+#[derive(Debug)]
+struct Prefix {
+    path: String,
+    service: id::Service,
+}
+
+/// A service that a path belongs to.
+pub struct Found<'a> {
+    /// The service's name.
+    pub name: &'a id::Service,
+    /// The service.
+    pub service: &'a table::Service,
+    /// The path after the prefix, without a leading slash.
+    pub rest: &'a str,
+}
+
+impl View {
+    /// Derives the view of a table.
+    pub fn new(table: table::Table) -> Self {
+        let mut prefixes: Vec<Prefix> = Vec::new();
+        for (name, service) in &table.global.services {
+            prefixes.push(Prefix {
+                path: service.prefix.trim_end_matches('/').to_owned(),
+                service: name.clone(),
+            });
+        }
+        // Longest first, so that the most specific prefix wins.
+        prefixes.sort_by(|a, b| b.path.len().cmp(&a.path.len()).then(a.path.cmp(&b.path)));
+        Self { table, prefixes }
+    }
+
+    /// Finds the service with the longest prefix of `path`.
+    pub fn find<'a>(&'a self, path: &'a str) -> Option<Found<'a>> {
+        for prefix in &self.prefixes {
+            let Some(rest) = path.strip_prefix(prefix.path.as_str()) else {
+                continue;
+            };
+            if !rest.is_empty() && !rest.starts_with('/') {
+                continue;
+            }
+            let service = self.table.global.services.get(&prefix.service)?;
+            return Some(Found {
+                name: &prefix.service,
+                service,
+                rest: rest.trim_start_matches('/'),
+            });
+        }
+        None
+    }
+
+    /// Returns a target with its domain.
+    pub fn target(&self, name: &id::Target) -> Option<(&id::Domain, &table::Target)> {
+        let mut locals = self.table.locals.values();
+        locals.find_map(|local| Some((&local.domain, local.targets.get(name)?)))
+    }
+}
--- a/crates/yucca-wire/src/head.rs
+++ b/crates/yucca-wire/src/head.rs
@@ -30,6 +30,8 @@
     pub remaining_us: u64,
     /// Whether it has already passed a relay; it passes no second one.
     pub relayed: bool,
+    /// Whether an earlier sending of the same request may have reached a lane.
+    pub resent: bool,
     /// How many bytes of body follow, where known.
     pub length: Option<u64>,
     /// The method.
