Homes as runs, owners in shared pages

Cause: a table part is replaced at each version; a map entry a shard would be cloned each time, and a list of a home a shard is what every host would be sent.

--- a/crates/yucca-wire/src/lib.rs
+++ b/crates/yucca-wire/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod key;
 pub mod problem;
 pub mod report;
+pub mod shards;
 pub mod table;
 pub mod unit;
 
--- a/crates/yucca-wire/src/table.rs
+++ b/crates/yucca-wire/src/table.rs
@@ -12,6 +12,7 @@
 
 use crate::id;
 use crate::key;
+use crate::shards;
 use crate::unit;
 
 /// The whole routing table of one host.
@@ -32,8 +33,11 @@
     pub services: IndexMap<id::Service, Service>,
     /// The failure domains, by name.
     pub domains: IndexMap<id::Domain, Domain>,
-    /// The home domain of each shard, by service; the index is the shard.
-    pub homes: IndexMap<id::Service, Vec<id::Domain>>,
+    /// The home domain of each shard, by service.
+    pub homes: IndexMap<id::Service, shards::Homes>,
+    /// The shards that their home gives up, and the domain that gets them then, by service.
+    #[serde(default)]
+    pub leaving: IndexMap<id::Service, IndexMap<id::Shard, id::Domain>>,
     /// The pins that operators set, by service.
     pub pins: IndexMap<id::Service, IndexMap<Bytes, id::Target>>,
     /// The targets that operators drain, by service.
@@ -52,7 +56,7 @@
     /// The domain's targets, by name.
     pub targets: IndexMap<id::Target, Target>,
     /// The owner of each shard that has its home here, by service.
-    pub owners: IndexMap<id::Service, IndexMap<id::Shard, Owner>>,
+    pub owners: IndexMap<id::Service, shards::Owners>,
     /// The owners of hot keys, by service; they go before the owners of their shards.
     pub pins: IndexMap<id::Service, IndexMap<Bytes, Owner>>,
 }
