Settings: read all of a file's faults at once

Cause: processes need TOML settings whose faults come with line, column, expectation and remedy, all together, and defaults documented in place.

--- /dev/null
+++ b/crates/yucca-settings/src/defaults.rs
@@ -0,0 +1,93 @@
+//! Prints every setting with its default, unit and meaning, as documented TOML.
+
+use crate::field;
+use crate::reader;
+
+/// Returns the settings of `T` as a TOML text with comments.
+///
+/// Settings without a default are commented out.
+pub fn print<T: reader::Section>() -> String {
+    let mut text = String::new();
+    print_fields(T::FIELDS, "", false, &mut text);
+    text
+}
+
+/// Single values come first, since in TOML all that follows a table's header belongs to it.
+fn print_fields(fields: &[field::Field], path: &str, hidden: bool, text: &mut String) {
+    for field in fields {
+        if table(&(field.shape)()).is_none() {
+            print_single(field, hidden, text);
+        }
+    }
+    for field in fields {
+        let shape = (field.shape)();
+        if let Some(inner) = table(&shape) {
+            print_table(field, &shape, inner, path, hidden, text);
+        }
+    }
+}
+
+fn table(shape: &field::Shape) -> Option<&'static [field::Field]> {
+    match shape {
+        field::Shape::Table(fields) => Some(fields),
+        field::Shape::Optional(inner) | field::Shape::List(inner) => table(inner),
+        field::Shape::Single(_) => None,
+    }
+}
+
+fn print_single(field: &field::Field, hidden: bool, text: &mut String) {
+    let shape = (field.shape)();
+    print_meaning(field, text);
+    let expected = shape.expected();
+    let mark = if hidden { "# " } else { "" };
+    match (field.default, &shape) {
+        (Some(default), _) => {
+            text.push_str(&format!(
+                "# Form: {expected}.\n{mark}{} = {default}\n\n",
+                field.name
+            ));
+        }
+        (None, field::Shape::Optional(_) | field::Shape::List(_)) => {
+            text.push_str(&format!(
+                "# Form: {expected}. May be left out.\n# {} =\n\n",
+                field.name
+            ));
+        }
+        (None, _) => {
+            text.push_str(&format!(
+                "# Form: {expected}. Required.\n# {} =\n\n",
+                field.name
+            ));
+        }
+    }
+}
+
+fn print_table(
+    field: &field::Field,
+    shape: &field::Shape,
+    inner: &[field::Field],
+    path: &str,
+    hidden: bool,
+    text: &mut String,
+) {
+    let path = if path.is_empty() {
+        field.name.to_string()
+    } else {
+        format!("{path}.{}", field.name)
+    };
+    print_meaning(field, text);
+    let (header, hidden) = match shape {
+        field::Shape::List(_) => (format!("[[{path}]]"), true),
+        field::Shape::Optional(_) => (format!("[{path}]"), true),
+        _ => (format!("[{path}]"), hidden),
+    };
+    let mark = if hidden { "# " } else { "" };
+    text.push_str(&format!("{mark}{header}\n\n"));
+    print_fields(inner, &path, hidden, text);
+}
+
+fn print_meaning(field: &field::Field, text: &mut String) {
+    for line in field.meaning {
+        text.push_str(&format!("#{line}\n"));
+    }
+}
--- /dev/null
+++ b/crates/yucca-settings/src/section.rs
@@ -0,0 +1,75 @@
+//! The declaration of settings.
+
+/// Declares a section of settings: a struct, its documentation and how it is read.
+///
+/// A field's documentation is its meaning in the printed defaults. A field with `= default` may be
+/// absent from the file, as may one of type `Option` or `Vec`; any other is required.
+///
+/// ```
+/// yucca_settings::section! {
+///     /// Settings of a process.
+///     #[derive(Debug, Clone)]
+///     pub struct Settings {
+///         /// The name of the deployment.
+///         pub deployment: String,
+///         /// How often the process reports.
+///         pub heartbeat: yucca_wire::unit::Span = "200ms",
+///     }
+/// }
+///
+/// let settings: Settings = yucca_settings::read("deployment = \"kelani\"", "a.toml").unwrap();
+/// assert_eq!(settings.heartbeat.to_string(), "200ms");
+/// ```
+#[macro_export]
+macro_rules! section {
+    (
+        $(#[$outer:meta])*
+        $vis:vis struct $name:ident {
+            $(
+                $(#[doc = $doc:literal])+
+                $fvis:vis $field:ident : $ty:ty $(= $default:literal)?
+            ),+ $(,)?
+        }
+    ) => {
+        $(#[$outer])*
+        $vis struct $name {
+            $( $(#[doc = $doc])+ $fvis $field: $ty, )+
+        }
+
+        impl $crate::reader::Section for $name {
+            const FIELDS: &'static [$crate::field::Field] = &[
+                $( $crate::field::Field {
+                    name: stringify!($field),
+                    meaning: &[$($doc),+],
+                    default: $crate::section!(@default $($default)?),
+                    shape: <$ty as $crate::value::Value>::shape,
+                } ),+
+            ];
+
+            fn read(
+                table: &$crate::reader::Table<'_>,
+                reader: &mut $crate::reader::Reader<'_>,
+            ) -> Option<Self> {
+                let mut fields = Self::FIELDS.iter();
+                $( let $field = fields.next().and_then(|field| table.field(field, reader)); )+
+                Some(Self { $( $field: $field? ),+ })
+            }
+        }
+
+        impl $crate::value::Value for $name {
+            fn shape() -> $crate::field::Shape {
+                $crate::field::Shape::Table(<Self as $crate::reader::Section>::FIELDS)
+            }
+
+            fn read(
+                node: &$crate::reader::Node<'_>,
+                path: &str,
+                reader: &mut $crate::reader::Reader<'_>,
+            ) -> Option<Self> {
+                $crate::value::read_section(node, path, reader)
+            }
+        }
+    };
+    (@default) => { None };
+    (@default $default:literal) => { Some(stringify!($default)) };
+}
