--- a/crates/yucca-settings/tests/find_faults.rs
+++ b/crates/yucca-settings/tests/find_faults.rs
@@ -1,5 +1,7 @@
 //! Findings on faulty settings: all at once, each with its place and remedy.
 
+#![allow(clippy::unwrap_used)]
+
 use std::net;
 
 use test_case::test_case;
