Sample tickets of both deployments at today's sizes

The stand-ins read work classes and keys from the same tickets, so that both sides of a test follow one text.

--- /dev/null
+++ b/crates/yucca-dev/src/deployment.rs
@@ -0,0 +1,219 @@
+//! The two sample deployments at today's sizes.
+
+use std::fmt;
+use std::str;
+use std::sync;
+use std::time;
+
+use yucca_wire::id;
+use yucca_wire::ticket;
+
+use crate::work;
+
+/// The sample ticket of Kelani.
+const KELANI: &str = include_str!("../../../tickets/kelani.toml");
+
+/// The sample ticket of Brightwater.
+const BRIGHTWATER: &str = include_str!("../../../tickets/brightwater.toml");
+
+/// Why there is no deployment.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// No deployment has this name.
+    Name {
+        /// The rejected text.
+        text: String,
+    },
+    /// A sample ticket does not parse.
+    Ticket {
+        /// The deployment.
+        name: Name,
+        /// What the parser says, with its place.
+        reason: String,
+    },
+    /// A name in the sample ticket is malformed.
+    Id(id::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Name { text } => write!(
+                f,
+                "no deployment is named {text:?}; use \"kelani\" or \"brightwater\""
+            ),
+            Self::Ticket { name, reason } => write!(f, "tickets/{name}.toml: {reason}"),
+            Self::Id(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<id::Error> for Error {
+    fn from(error: id::Error) -> Self {
+        Self::Id(error)
+    }
+}
+
+/// The name of a sample deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Name {
+    /// Kelani Municipal Steam Utility.
+    Kelani,
+    /// Brightwater Glow Cooperative.
+    Brightwater,
+}
+
+impl fmt::Display for Name {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Kelani => "kelani",
+            Self::Brightwater => "brightwater",
+        })
+    }
+}
+
+impl str::FromStr for Name {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self, Error> {
+        match text {
+            "kelani" => Ok(Self::Kelani),
+            "brightwater" => Ok(Self::Brightwater),
+            _ => Err(Error::Name { text: text.into() }),
+        }
+    }
+}
+
+/// A sample deployment.
+#[derive(Debug, Clone)]
+pub struct Deployment {
+    /// Its name.
+    pub name: Name,
+    /// The ticket that creates its services and domains.
+    pub ticket: ticket::Ticket,
+    /// The targets of each service.
+    pub groups: Vec<Group>,
+}
+
+/// The targets of one service.
+#[derive(Debug, Clone)]
+pub struct Group {
+    /// The service.
+    pub service: id::Service,
+    /// The service as the ticket states it.
+    pub rules: sync::Arc<ticket::Service>,
+    /// How many targets serve it, spread over the domains.
+    pub targets: usize,
+    /// The service times.
+    pub model: work::Model,
+}
+
+/// Service times of long work: archive searches and catalogue pulls.
+const LONG: work::Shape = work::Shape {
+    median: time::Duration::from_millis(60),
+    sigma: 1.0,
+    longest: time::Duration::from_secs(2),
+};
+
+/// Service times of lookups.
+const LOOKUP: work::Shape = work::Shape {
+    median: time::Duration::from_millis(8),
+    sigma: 0.6,
+    longest: time::Duration::from_millis(200),
+};
+
+/// Service times of renewals, orders and deposits.
+const RENEWAL: work::Shape = work::Shape {
+    median: time::Duration::from_millis(12),
+    sigma: 0.5,
+    longest: time::Duration::from_millis(200),
+};
+
+/// How many targets serve a service at today's sizes, and how long its short work takes.
+struct Size {
+    service: &'static str,
+    targets: usize,
+    short: work::Shape,
+}
+
+const fn size(service: &'static str, targets: usize, short: work::Shape) -> Size {
+    Size {
+        service,
+        targets,
+        short,
+    }
+}
+
+const KELANI_SIZES: [Size; 3] = [
+    size("ticket-desk", 13, LOOKUP),
+    size("renewal-office", 10, RENEWAL),
+    size("records-vault", 13, LOOKUP),
+];
+
+const BRIGHTWATER_SIZES: [Size; 3] = [
+    size("shelf", 13, LOOKUP),
+    size("till", 7, RENEWAL),
+    size("almanac", 13, LOOKUP),
+];
+
+impl Deployment {
+    /// Returns a sample deployment at today's sizes.
+    ///
+    /// # Errors
+    /// Fails where the sample ticket is malformed.
+    pub fn new(name: Name) -> Result<Self, Error> {
+        let (text, sizes) = match name {
+            Name::Kelani => (KELANI, &KELANI_SIZES),
+            Name::Brightwater => (BRIGHTWATER, &BRIGHTWATER_SIZES),
+        };
+        let parsed = toml::from_str::<ticket::Ticket>(text);
+        let ticket = parsed.map_err(|error| Error::Ticket {
+            name,
+            reason: error.to_string(),
+        })?;
+        let groups = sizes.iter().map(|size| group(name, &ticket, size));
+        let groups = groups.collect::<Result<_, _>>()?;
+        Ok(Self {
+            name,
+            ticket,
+            groups,
+        })
+    }
+
+    /// Lets at most so many targets serve each service.
+    #[must_use]
+    pub fn at_most(mut self, targets: usize) -> Self {
+        for group in &mut self.groups {
+            group.targets = group.targets.min(targets);
+        }
+        self
+    }
+
+    /// Returns the failure domains.
+    ///
+    /// # Errors
+    /// Fails where the name of one is malformed.
+    pub fn domains(&self) -> Result<Vec<id::Domain>, Error> {
+        let names = self.ticket.domains.keys();
+        names.map(|name| Ok(name.parse()?)).collect()
+    }
+}
+
+fn group(name: Name, ticket: &ticket::Ticket, size: &Size) -> Result<Group, Error> {
+    let rules = ticket.services.get(size.service).cloned().flatten();
+    let rules = rules.ok_or_else(|| Error::Ticket {
+        name,
+        reason: format!("service {} is missing", size.service),
+    })?;
+    Ok(Group {
+        service: size.service.parse()?,
+        rules: sync::Arc::new(rules),
+        targets: size.targets,
+        model: work::Model {
+            short: size.short,
+            long: LONG,
+        },
+    })
+}
