--- a/crates/yucca-dev/src/lib.rs
+++ b/crates/yucca-dev/src/lib.rs
@@ -3,5 +3,8 @@
 //! Nothing here is part of a deployment in use.
 
 pub mod deployment;
+pub mod fleet;
+pub mod journal;
 pub mod route;
+pub mod target;
 pub mod work;
--- /dev/null
+++ b/crates/yucca-dev/src/target/announce.rs
@@ -0,0 +1,86 @@
+//! The heartbeats by which a target announces itself to an entry host of its domain.
+
+use std::num;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use http_body_util::Full;
+use hyper_util::client::legacy;
+use hyper_util::client::legacy::connect;
+use hyper_util::rt;
+use tokio::time as clock;
+use yucca_wire::announce as border;
+
+use super::{Audience, Shared};
+
+/// The path of the announce listener.
+const PATH: &str = "/announce";
+
+/// The time between two heartbeats.
+const INTERVAL: time::Duration = time::Duration::from_millis(200);
+
+/// The time after which a heartbeat without an answer goes to the next host.
+const TIMEOUT: time::Duration = time::Duration::from_millis(300);
+
+type Client = legacy::Client<connect::HttpConnector, Full<Bytes>>;
+
+/// Announces a target until the task is aborted.
+pub async fn repeat(shared: sync::Arc<Shared>, audience: Audience) {
+    let client: Client = legacy::Client::builder(rt::TokioExecutor::new()).build_http();
+    let mut ticks = clock::interval(INTERVAL);
+    ticks.set_missed_tick_behavior(clock::MissedTickBehavior::Delay);
+    let mut host = 0;
+    loop {
+        ticks.tick().await;
+        shared.gate.thawed().await;
+        for _ in 0..audience.hosts.len() {
+            if send(&client, &shared, &audience, host).await {
+                break;
+            }
+            host = (host + 1) % audience.hosts.len();
+        }
+    }
+}
+
+/// Sends one heartbeat and returns whether it was taken.
+async fn send(client: &Client, shared: &Shared, audience: &Audience, host: usize) -> bool {
+    let Some(address) = audience.hosts.get(host) else {
+        return false;
+    };
+    let Ok(body) = serde_json::to_vec(&message(shared)) else {
+        return false;
+    };
+    let request = http::Request::post(format!("http://{address}{PATH}"))
+        .header(http::header::AUTHORIZATION, audience.secret.header())
+        .header(http::header::CONTENT_TYPE, "application/json")
+        .body(Full::new(Bytes::from(body)));
+    let Ok(request) = request else {
+        return false;
+    };
+    match clock::timeout(TIMEOUT, client.request(request)).await {
+        Ok(Ok(answer)) => answer.status().is_success(),
+        _ => false,
+    }
+}
+
+fn message(shared: &Shared) -> border::Announce {
+    let warm = shared.warm();
+    let settings = &shared.settings;
+    let life = shared.life();
+    border::Announce {
+        address: shared.address.to_string(),
+        checks_tokens: settings.checks_tokens,
+        connections: at_least_one(settings.connections),
+        incarnation: life.incarnation,
+        service: settings.service.to_string(),
+        slots: at_least_one(settings.slots.0),
+        state: Some(life.state),
+        target: settings.name.to_string(),
+        warm: Some(warm),
+    }
+}
+
+fn at_least_one(count: u16) -> num::NonZeroU16 {
+    num::NonZeroU16::new(count).unwrap_or(num::NonZeroU16::MIN)
+}
--- /dev/null
+++ b/crates/yucca-dev/src/target/serve.rs
@@ -0,0 +1,41 @@
+//! The connections of a target.
+
+use std::convert;
+use std::sync;
+
+use hyper::service;
+use hyper_util::rt;
+use hyper_util::server::conn::auto;
+use tokio::net::TcpListener;
+use tokio::task;
+
+use super::{Shared, answer};
+
+/// Takes connections until the task is aborted.
+pub async fn accept(shared: sync::Arc<Shared>, listener: TcpListener) {
+    let mut connections = task::JoinSet::new();
+    loop {
+        tokio::select! {
+            () = shared.restart.notified() => connections.abort_all(),
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => {
+                let Ok((stream, _)) = accepted else {
+                    continue;
+                };
+                let _ = stream.set_nodelay(true);
+                let stream = shared.gate.admit(stream);
+                connections.spawn(serve(shared.clone(), rt::TokioIo::new(stream)));
+            }
+        }
+    }
+}
+
+async fn serve(shared: sync::Arc<Shared>, stream: rt::TokioIo<super::gate::Stream>) {
+    let service = service::service_fn(|request| {
+        let shared = shared.clone();
+        async move { Ok::<_, convert::Infallible>(answer::answer(&shared, request).await) }
+    });
+    let builder = auto::Builder::new(rt::TokioExecutor::new());
+    // A failed connection concerns its sender alone, who sees it too.
+    let _ = builder.serve_connection(stream, service).await;
+}
