--- /dev/null
+++ b/crates/yucca-own/src/global.rs
@@ -0,0 +1,67 @@
+//! The state on the global log: services, domains, tickets and the home of each shard.
+
+mod apply;
+mod checks;
+mod command;
+mod evidence;
+mod homes;
+mod plan;
+mod record;
+
+use std::sync;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use yucca_wire::id;
+use yucca_wire::table;
+
+pub use command::{Cause, Command, Reply};
+pub use evidence::Evidence;
+pub use record::{Record, Standing};
+
+/// What all domains agree on.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct State {
+    /// What every host is told.
+    table: sync::Arc<table::Global>,
+    /// The accepted tickets.
+    tickets: Record,
+    /// The slots of serving targets, by domain and service.
+    capacity: IndexMap<id::Domain, IndexMap<id::Service, u32>>,
+    /// The number of the last renewal of each domain's home lease.
+    renewals: IndexMap<id::Domain, u64>,
+    /// The highest generation that any domain was given.
+    generation: u32,
+}
+
+impl State {
+    /// Returns what every host is told.
+    pub fn table(&self) -> sync::Arc<table::Global> {
+        sync::Arc::clone(&self.table)
+    }
+
+    /// Returns what is known of an accepted ticket.
+    pub fn ticket(&self, number: id::Ticket) -> Option<Standing> {
+        self.tickets.get(number)
+    }
+
+    /// Returns the record of accepted tickets.
+    pub fn tickets(&self) -> &Record {
+        &self.tickets
+    }
+
+    /// Tells whether applying a command would change anything; one that would not need not be
+    /// proposed.
+    pub fn needs(&self, command: &Command) -> bool {
+        match command {
+            Command::Capacity { domain, slots } => self.capacity.get(domain) != Some(slots),
+            Command::Released {
+                domain, service, ..
+            } => {
+                let leaving = self.table.leaving.get(service);
+                self.table.domains.contains_key(domain) && leaving.is_some()
+            }
+            _ => true,
+        }
+    }
+}
--- /dev/null
+++ b/crates/yucca-own/src/global/evidence.rs
@@ -0,0 +1,78 @@
+//! What the leader of the global log saw itself; it is never replicated.
+
+use std::time;
+
+use indexmap::IndexMap;
+use yucca_wire::id;
+
+use super::State;
+
+/// What the leader saw, on the clock of its process.
+#[derive(Debug, Clone)]
+pub struct Evidence {
+    /// When this process became leader.
+    since: time::Duration,
+    /// When a domain was last heard.
+    heard: IndexMap<id::Domain, time::Duration>,
+    /// The last renewal of each domain, and when it was first seen in the state.
+    renewals: IndexMap<id::Domain, Renewal>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Renewal {
+    number: u64,
+    seen: time::Duration,
+}
+
+impl Evidence {
+    /// Returns the knowledge of a process that has just become leader.
+    pub fn new(now: time::Duration) -> Self {
+        Self {
+            since: now,
+            heard: IndexMap::new(),
+            renewals: IndexMap::new(),
+        }
+    }
+
+    /// Notes that a domain's leader was heard.
+    pub fn hear(&mut self, domain: &id::Domain, now: time::Duration) {
+        self.heard.insert(domain.clone(), now);
+    }
+
+    /// Notes the renewals of home leases that were applied; call it after each application.
+    pub fn observe(&mut self, state: &State, now: time::Duration) {
+        for (domain, number) in &state.renewals {
+            let known = self.renewals.get(domain);
+            if known.is_none_or(|known| known.number != *number) {
+                let renewal = Renewal {
+                    number: *number,
+                    seen: now,
+                };
+                self.renewals.insert(domain.clone(), renewal);
+            }
+        }
+    }
+
+    /// Returns when this process became leader.
+    pub(super) fn since(&self) -> time::Duration {
+        self.since
+    }
+
+    /// Returns how long a domain was not heard.
+    pub(super) fn silence(&self, domain: &id::Domain, now: time::Duration) -> time::Duration {
+        let last = self.heard.get(domain).copied();
+        now.saturating_sub(last.unwrap_or(self.since))
+    }
+
+    /// Returns the time since a domain's renewal with this number was seen, or since the start.
+    pub(super) fn age(
+        &self,
+        domain: &id::Domain,
+        number: u64,
+        now: time::Duration,
+    ) -> time::Duration {
+        let renewal = self.renewals.get(domain).filter(|r| r.number == number);
+        let from = renewal.map_or(self.since, |renewal| renewal.seen);
+        now.saturating_sub(from.max(self.since))
+    }
+}
--- a/crates/yucca-wire/src/shards.rs
+++ b/crates/yucca-wire/src/shards.rs
@@ -1,5 +1,6 @@
 //! Compact maps from shards to their homes and owners.
 
+use std::ops;
 use std::sync;
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
@@ -47,6 +48,34 @@
         self.runs.is_empty()
     }
 
+    /// Gives the shards of a range to a domain. A gap before the range has no home to return, so
+    /// the range starts at most at the end of what has a home.
+    pub fn assign(&mut self, range: ops::Range<u32>, domain: &id::Domain) {
+        if range.is_empty() || range.start as usize > self.len() {
+            return;
+        }
+        let mut runs: Vec<Run> = Vec::with_capacity(self.runs.len() + 2);
+        let mut push = |end: u32, domain: &id::Domain| match runs.last_mut() {
+            Some(last) if last.domain == *domain => last.end = end,
+            _ => runs.push(Run {
+                end,
+                domain: domain.clone(),
+            }),
+        };
+        let mut start = 0;
+        for run in &self.runs {
+            if start < range.start {
+                push(run.end.min(range.start), &run.domain);
+            }
+            start = run.end;
+        }
+        push(range.end, domain);
+        for run in self.runs.iter().filter(|run| run.end > range.end) {
+            push(run.end, &run.domain);
+        }
+        self.runs = runs;
+    }
+
     /// Returns the runs in the order of their shards.
     pub fn runs(&self) -> &[Run] {
         &self.runs
