--- a/crates/yucca-entry/src/connection/framed.rs
+++ b/crates/yucca-entry/src/connection/framed.rs
@@ -53,9 +53,13 @@
 ) -> Result<(T, body::Stream), Error> {
     let mut buffer = BytesMut::new();
     fill(&mut buffer, &mut stream, codec::PREFIX_BYTES).await?;
-    let prefix =
-        codec::prefix(deployment, &buffer, codec::MAX_HEAD_BYTES).map_err(Error::Frame)?;
-    fill(&mut buffer, &mut stream, codec::PREFIX_BYTES + prefix.length).await?;
+    let prefix = codec::prefix(deployment, &buffer, codec::MAX_HEAD_BYTES).map_err(Error::Frame)?;
+    fill(
+        &mut buffer,
+        &mut stream,
+        codec::PREFIX_BYTES + prefix.length,
+    )
+    .await?;
     let frame = buffer.split_to(codec::PREFIX_BYTES + prefix.length);
     let message = codec::body(&frame[codec::PREFIX_BYTES..]).map_err(Error::Frame)?;
     let rest: Bytes = buffer.freeze();
--- a/crates/yucca-entry/src/connection/peers.rs
+++ b/crates/yucca-entry/src/connection/peers.rs
@@ -60,7 +60,10 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Dial { address, source } => {
-                write!(f, "cannot connect to peer {address}: {source}; check that it runs")
+                write!(
+                    f,
+                    "cannot connect to peer {address}: {source}; check that it runs"
+                )
             }
             Self::Exchange { address, source } => {
                 write!(f, "connection to peer {address} failed: {source}")
@@ -132,7 +135,9 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, IndexMap<net::SocketAddr, Vec<Sender>>> {
-        self.open.lock().unwrap_or_else(|poison| poison.into_inner())
+        self.open
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
     }
 
     async fn sender(&self, address: net::SocketAddr) -> Result<Sender, Error> {
--- a/crates/yucca-entry/src/connection/pool.rs
+++ b/crates/yucca-entry/src/connection/pool.rs
@@ -85,7 +85,9 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, VecDeque<Idle>> {
-        self.idle.lock().unwrap_or_else(|poison| poison.into_inner())
+        self.idle
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
     }
 
     /// Opens connections ahead of need, up to the number that is kept.
--- a/crates/yucca-entry/src/process/announce.rs
+++ b/crates/yucca-entry/src/process/announce.rs
@@ -31,7 +31,10 @@
     /// Takes in a heartbeat.
     pub fn hear(&self, announced: announce::Announce) {
         let urgent = announced.state != announce::State::Serving;
-        let mut heard = self.heard.lock().unwrap_or_else(|poison| poison.into_inner());
+        let mut heard = self
+            .heard
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
         let previous = heard.insert(announced.target.clone(), announced);
         drop(heard);
         if urgent && previous.is_none_or(|previous| previous.state == announce::State::Serving) {
@@ -41,7 +44,10 @@
 
     /// Takes out what was heard.
     pub fn drain(&self) -> Vec<announce::Announce> {
-        let mut heard = self.heard.lock().unwrap_or_else(|poison| poison.into_inner());
+        let mut heard = self
+            .heard
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
         mem::take(&mut *heard).into_values().collect()
     }
 }
@@ -52,14 +58,20 @@
     request: http::Request<hyper::body::Incoming>,
 ) -> http::Response<body::Stream> {
     let given = request.headers().get(http::header::AUTHORIZATION);
-    if !shared.settings.announce_secret.admits(given.map(|value| value.as_bytes())) {
+    if !shared
+        .settings
+        .announce_secret
+        .admits(given.map(|value| value.as_bytes()))
+    {
         metrics::counter!("yucca_unauthorized_total", "listener" => "announce").increment(1);
         return reply(http::StatusCode::UNAUTHORIZED, String::new());
     }
     if request.method() != http::Method::POST || request.uri().path() != PATH {
         return reply(http::StatusCode::NOT_FOUND, format!("use POST {PATH}"));
     }
-    let collected = body::incoming(request.into_body(), MAX_BYTES).collect().await;
+    let collected = body::incoming(request.into_body(), MAX_BYTES)
+        .collect()
+        .await;
     let Ok(collected) = collected else {
         return reply(http::StatusCode::PAYLOAD_TOO_LARGE, String::new());
     };
--- a/crates/yucca-entry/src/process/lanes.rs
+++ b/crates/yucca-entry/src/process/lanes.rs
@@ -38,7 +38,9 @@
 
 impl Lanes {
     fn lock(&self) -> sync::MutexGuard<'_, IndexMap<id::Target, sync::Arc<runtime::Runtime>>> {
-        self.open.lock().unwrap_or_else(|poison| poison.into_inner())
+        self.open
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
     }
 
     /// Returns the lane of a target, where this host holds it.
@@ -85,7 +87,9 @@
 /// Returns what the lanes saw since the last report.
 pub fn report(shared: &sync::Arc<shared::Shared>) -> IndexMap<id::Target, report::Lane> {
     let lanes = shared.lanes.all();
-    let reports = lanes.iter().map(|lane| (lane.target().clone(), lane.report()));
+    let reports = lanes
+        .iter()
+        .map(|lane| (lane.target().clone(), lane.report()));
     reports.collect()
 }
 
--- a/crates/yucca-entry/src/process/lanes/attempt.rs
+++ b/crates/yucca-entry/src/process/lanes/attempt.rs
@@ -192,7 +192,11 @@
             let long = Content::Long(channel.boxed_unsync());
             guard.end(Ok(status), Some(received(long)), false);
             let whole = pump(stream, sender, sending.deadline).await;
-            let result = if whole { Ok(status) } else { Err(request::Failure::Lost) };
+            let result = if whole {
+                Ok(status)
+            } else {
+                Err(request::Failure::Lost)
+            };
             guard.end(result, None, true);
             if whole && connection.is_reusable().await {
                 runtime.pool.put(connection);
@@ -277,7 +281,9 @@
         let response = connection.send(request).await?;
         return Ok((connection, response));
     }
-    let left = sending.deadline.saturating_duration_since(time::Instant::now());
+    let left = sending
+        .deadline
+        .saturating_duration_since(time::Instant::now());
     match time::timeout(left / PATIENCE_SHARE, connection.send(request)).await {
         Ok(sent) => {
             let response = sent?;
@@ -298,7 +304,9 @@
     *request.uri_mut() = head.uri.parse().unwrap_or_default();
     let headers = request.headers_mut();
     fields::extend(headers, &head.headers);
-    let left = sending.deadline.saturating_duration_since(time::Instant::now());
+    let left = sending
+        .deadline
+        .saturating_duration_since(time::Instant::now());
     let own = [
         (grant::TOKEN_HEADER, sending.grant.to_string()),
         (grant::REQUEST_HEADER, sending.id.to_string()),
@@ -310,10 +318,7 @@
         }
     }
     if !headers.contains_key(http::header::HOST) {
-        headers.insert(
-            http::header::HOST,
-            http::HeaderValue::from_static("target"),
-        );
+        headers.insert(http::header::HOST, http::HeaderValue::from_static("target"));
     }
     request
 }
--- a/crates/yucca-entry/src/process/lanes/grants.rs
+++ b/crates/yucca-entry/src/process/lanes/grants.rs
@@ -77,7 +77,9 @@
 
 impl Grants {
     fn lock(&self) -> sync::MutexGuard<'_, Told> {
-        self.told.lock().unwrap_or_else(|poison| poison.into_inner())
+        self.told
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
     }
 
     /// Returns the releases that control has not acted on.
@@ -124,9 +126,10 @@
     fn put_back(&self, changes: Vec<Change>) {
         let mut told = self.lock();
         let still_wanted = |change: &Change| match change {
-            Change::Grant { scope, token, .. } => {
-                told.scopes.get(scope).is_some_and(|line| line.token == *token)
-            }
+            Change::Grant { scope, token, .. } => told
+                .scopes
+                .get(scope)
+                .is_some_and(|line| line.token == *token),
             Change::Revoke { scope, .. } => told.scopes.contains_key(scope),
         };
         let mut kept: Vec<Change> = changes.into_iter().filter(still_wanted).collect();
@@ -245,9 +248,12 @@
             Change::Grant { scope, token, .. } => {
                 (scope, *token, &mut order.granted, &mut order.pinned)
             }
-            Change::Revoke { scope, release } => {
-                (scope, release.token, &mut order.revoked, &mut order.unpinned)
-            }
+            Change::Revoke { scope, release } => (
+                scope,
+                release.token,
+                &mut order.revoked,
+                &mut order.unpinned,
+            ),
         };
         match scope {
             owners::Scope::Shard(shard) => shards.push(grant::Shard {
--- a/crates/yucca-entry/src/process/lanes/reconcile.rs
+++ b/crates/yucca-entry/src/process/lanes/reconcile.rs
@@ -47,13 +47,13 @@
             continue;
         }
         let next = local.targets.get(runtime.target());
-        match next.and_then(|target| target.lane.clone()) {
-            Some(to) => runtime.hand_over(shared, to),
-            None if runtime.is_idle() => {
-                runtime.grants.close();
-                shared.lanes.lock().swap_remove(runtime.target());
-            }
-            None => {}
+        let to = next.and_then(|target| target.lane.clone());
+        let over = to.is_none() || runtime.is_handed_over();
+        if over && runtime.is_idle() {
+            runtime.grants.close();
+            shared.lanes.lock().swap_remove(runtime.target());
+        } else if let Some(to) = to {
+            runtime.hand_over(shared, to);
         }
     }
 }
@@ -83,7 +83,17 @@
         return;
     }
     let earlier = earlier_lane(earlier, &shared.settings.domain, name);
-    open(shared, Opening { name, target, service, earlier }, config, known);
+    open(
+        shared,
+        Opening {
+            name,
+            target,
+            service,
+            earlier,
+        },
+        config,
+        known,
+    );
 }
 
 fn config(
@@ -156,9 +166,9 @@
             known.grants.close();
             Some(known.takeover(shared.now()))
         }
-        None => earlier.and_then(|token| {
-            shared.lanes.standbys.take_over(name, token, shared.now())
-        }),
+        None => {
+            earlier.and_then(|token| shared.lanes.standbys.take_over(name, token, shared.now()))
+        }
     };
     if let Some(kept) = kept {
         runtime.step(shared, lane::Input::TakeOver(kept));
--- a/crates/yucca-entry/src/process/lanes/runtime.rs
+++ b/crates/yucca-entry/src/process/lanes/runtime.rs
@@ -122,7 +122,9 @@
     }
 
     fn lock(&self) -> sync::MutexGuard<'_, State> {
-        self.state.lock().unwrap_or_else(|poison| poison.into_inner())
+        self.state
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
     }
 
     /// Tells whether the lane wants a tick now.
@@ -460,10 +462,13 @@
         caller: request::Caller,
         load: head::Load,
     ) {
-        let received = state.requests.get_mut(&id).and_then(|work| match &mut work.answer {
-            Some(received) => received.share(),
-            None => None,
-        });
+        let received = state
+            .requests
+            .get_mut(&id)
+            .and_then(|work| match &mut work.answer {
+                Some(received) => received.share(),
+                None => None,
+            });
         let answer = match received {
             Some(received) => received.into_answer(load),
             None => {
@@ -533,6 +538,8 @@
 
 fn held_bytes(head: &head::Request, kept: &body::Kept) -> u64 {
     let fields = head.headers.iter();
-    let head_bytes: usize = fields.map(|field| field.name.len() + field.value.len()).sum();
+    let head_bytes: usize = fields
+        .map(|field| field.name.len() + field.value.len())
+        .sum();
     (head_bytes + head.uri.len() + kept.bytes().len()) as u64
 }
--- a/crates/yucca-entry/src/process/lanes/standbys.rs
+++ b/crates/yucca-entry/src/process/lanes/standbys.rs
@@ -39,11 +39,18 @@
 
 impl Standbys {
     fn lock(&self) -> sync::MutexGuard<'_, IndexMap<id::Target, Kept>> {
-        self.kept.lock().unwrap_or_else(|poison| poison.into_inner())
+        self.kept
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
     }
 
     /// Takes in what a lane asks of its standby.
-    pub fn step(&self, target: &id::Target, input: standby::Input, now: Duration) -> message::Reply {
+    pub fn step(
+        &self,
+        target: &id::Target,
+        input: standby::Input,
+        now: Duration,
+    ) -> message::Reply {
         let mut kept = self.lock();
         let kept = kept.entry(target.clone()).or_default();
         match kept.standby.step(input, now) {
--- a/crates/yucca-entry/src/process/running.rs
+++ b/crates/yucca-entry/src/process/running.rs
@@ -86,10 +86,7 @@
     announce: listen::Listener,
 }
 
-async fn bind(
-    setting: &'static str,
-    address: net::SocketAddr,
-) -> Result<listen::Listener, Error> {
+async fn bind(setting: &'static str, address: net::SocketAddr) -> Result<listen::Listener, Error> {
     let bound = listen::Listener::bind(address).await;
     bound.map_err(|source| Error::Bind {
         setting,
@@ -224,10 +221,7 @@
         log::info!("host {} stops", self.shared.settings.host);
         let limit = time::Instant::now() + self.shared.settings.stop_limit.0;
         let _ = time::timeout_at(limit, lanes::drained(&self.shared)).await;
-        let left = self
-            .shared
-            .in_flight
-            .load(sync::atomic::Ordering::Relaxed);
+        let left = self.shared.in_flight.load(sync::atomic::Ordering::Relaxed);
         if left > 0 {
             metrics::counter!("yucca_stop_cut_off_total").increment(left as u64);
             log::warn!("{left} requests were cut off at the limit of the stop");
--- a/crates/yucca-entry/src/request/choose.rs
+++ b/crates/yucca-entry/src/request/choose.rs
@@ -31,7 +31,9 @@
 
 impl Loads {
     fn lock(&self) -> sync::MutexGuard<'_, IndexMap<id::Target, Lane>> {
-        self.lanes.lock().unwrap_or_else(|poison| poison.into_inner())
+        self.lanes
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
     }
 
     /// Counts a request that goes to a lane.
--- a/crates/yucca-entry/src/request/forward.rs
+++ b/crates/yucca-entry/src/request/forward.rs
@@ -106,7 +106,6 @@
     problem::Problem::not_run(kind, error.to_string())
 }
 
-
 impl Journey<'_> {
     async fn run(&mut self, mut kept: body::Kept) -> answer::Answer {
         let mut changes = self.shared.current.watch();
@@ -213,8 +212,15 @@
         let service = &self.request.service;
         let loads = &self.shared.loads;
         let mut rng = rand::rng();
-        let chosen = choose::choose(table, loads, service, &settings.domain, &self.tried, &mut rng)
-            .or_else(|| choose::choose(table, loads, service, &settings.domain, &[], &mut rng));
+        let chosen = choose::choose(
+            table,
+            loads,
+            service,
+            &settings.domain,
+            &self.tried,
+            &mut rng,
+        )
+        .or_else(|| choose::choose(table, loads, service, &settings.domain, &[], &mut rng));
         chosen.ok_or_else(|| {
             let detail = format!("no target of {service} takes work now");
             problem::Problem::not_run(problem::Kind::NoOwner, detail)
@@ -222,7 +228,9 @@
     }
 
     fn head(&self, place: &Place) -> head::Request {
-        let left = self.deadline.saturating_duration_since(time::Instant::now());
+        let left = self
+            .deadline
+            .saturating_duration_since(time::Instant::now());
         let path = self.parts.uri.path_and_query();
         head::Request {
             id: self.request.id,
@@ -372,10 +380,9 @@
             problem::Kind::Unreachable,
             detail,
         )),
-        Err(Failure::Unsure(detail)) => refuse(problem::Problem::unknown(
-            problem::Kind::TargetLost,
-            detail,
-        )),
+        Err(Failure::Unsure(detail)) => {
+            refuse(problem::Problem::unknown(problem::Kind::TargetLost, detail))
+        }
     }
 }
 
--- a/crates/yucca-entry/src/request/parse.rs
+++ b/crates/yucca-entry/src/request/parse.rs
@@ -95,10 +95,11 @@
     let Some(value) = one_header(parts, header::CONTENT_LENGTH.as_str())? else {
         return Ok(());
     };
-    let parsed = std::str::from_utf8(value).ok().and_then(|text| text.parse::<u64>().ok());
-    let length = parsed.ok_or_else(|| {
-        refuse(problem::Kind::BadHeader, "content-length is not a number")
-    })?;
+    let parsed = std::str::from_utf8(value)
+        .ok()
+        .and_then(|text| text.parse::<u64>().ok());
+    let length =
+        parsed.ok_or_else(|| refuse(problem::Kind::BadHeader, "content-length is not a number"))?;
     if length > limit {
         let detail = format!("body of {length} bytes is over the limit of {limit}");
         return Err(refuse(problem::Kind::BodyTooLarge, detail));
@@ -139,7 +140,10 @@
     };
     let key = key.filter(|key| !key.is_empty()).ok_or_else(missing)?;
     if key.len() > MAX_KEY_BYTES {
-        let detail = format!("key of {} bytes is over the limit of {MAX_KEY_BYTES}", key.len());
+        let detail = format!(
+            "key of {} bytes is over the limit of {MAX_KEY_BYTES}",
+            key.len()
+        );
         return Err(refuse(problem::Kind::BadHeader, detail));
     }
     Ok(key)
@@ -183,7 +187,9 @@
     let Some(value) = one_header(parts, grant::DEADLINE_HEADER)? else {
         return Ok(None);
     };
-    let parsed = std::str::from_utf8(value).ok().and_then(|text| text.parse::<u64>().ok());
+    let parsed = std::str::from_utf8(value)
+        .ok()
+        .and_then(|text| text.parse::<u64>().ok());
     let millis = parsed.filter(|millis| *millis > 0).ok_or_else(|| {
         let detail = format!("{} is not a positive number", grant::DEADLINE_HEADER);
         refuse(problem::Kind::BadHeader, detail)
@@ -218,7 +224,10 @@
     rest: &str,
 ) -> Option<&'a table::Route> {
     let matches = |route: &&table::Route| {
-        let same = route.method.as_deref().is_none_or(|name| name == method.as_str());
+        let same = route
+            .method
+            .as_deref()
+            .is_none_or(|name| name == method.as_str());
         same && path_matches(&route.path, rest)
     };
     service.routes.iter().find(matches)
--- a/crates/yucca-entry/src/settings.rs
+++ b/crates/yucca-entry/src/settings.rs
@@ -6,37 +6,39 @@
 use yucca_wire::id;
 use yucca_wire::unit;
 
-/// The settings of an entry process.
-#[derive(Debug, Clone)]
-pub struct Settings {
-    /// The deployment's name; processes of other deployments are refused.
-    pub deployment: String,
-    /// This host's name.
-    pub host: id::Host,
-    /// The failure domain of this host.
-    pub domain: id::Domain,
-    /// Where callers are heard.
-    pub callers: net::SocketAddr,
-    /// Where other entry hosts are heard.
-    pub peer: net::SocketAddr,
-    /// Where the platform's balancer asks for `/ready` and `/live`, and metrics are scraped.
-    pub balancer: net::SocketAddr,
-    /// Where targets announce themselves.
-    pub announce: net::SocketAddr,
-    /// The control processes of this domain, the one of this host first.
-    pub control: Vec<net::SocketAddr>,
-    /// The secret of peers and control processes.
-    pub peer_secret: auth::Secret,
-    /// The secret of targets that announce themselves.
-    pub announce_secret: auth::Secret,
-    /// The interval of reports to control.
-    pub heartbeat: unit::Span,
-    /// How long a graceful stop waits for requests in flight.
-    pub stop_limit: unit::Span,
-    /// The largest head of a caller's request.
-    pub head_limit: unit::Size,
-    /// The most requests in flight from callers.
-    pub request_limit: u32,
+yucca_settings::section! {
+    /// The settings of an entry process.
+    #[derive(Debug, Clone)]
+    pub struct Settings {
+        /// The deployment's name; processes of other deployments are refused.
+        pub deployment: String,
+        /// This host's name.
+        pub host: id::Host,
+        /// The failure domain of this host.
+        pub domain: id::Domain,
+        /// Where callers are heard.
+        pub callers: net::SocketAddr,
+        /// Where other entry hosts are heard.
+        pub peer: net::SocketAddr,
+        /// Where the platform's balancer asks for `/ready` and `/live`, and metrics are scraped.
+        pub balancer: net::SocketAddr,
+        /// Where targets announce themselves.
+        pub announce: net::SocketAddr,
+        /// The control processes of this domain, the one of this host first.
+        pub control: Vec<net::SocketAddr>,
+        /// The secret of peers and control processes.
+        pub peer_secret: auth::Secret,
+        /// The secret of targets that announce themselves.
+        pub announce_secret: auth::Secret,
+        /// The interval of reports to control.
+        pub heartbeat: unit::Span = "200ms",
+        /// How long a graceful stop waits for requests in flight.
+        pub stop_limit: unit::Span = "30s",
+        /// The largest head of a caller's request.
+        pub head_limit: unit::Size = "32KiB",
+        /// The most requests in flight from callers.
+        pub request_limit: u32 = 10000,
+    }
 }
 
 impl Settings {
--- a/crates/yucca-entry/src/version/current.rs
+++ b/crates/yucca-entry/src/version/current.rs
@@ -46,7 +46,10 @@
         global: Option<sync::Arc<table::Global>>,
         locals: Vec<sync::Arc<table::Local>>,
     ) -> bool {
-        let _guard = self.writer.lock().unwrap_or_else(|poison| poison.into_inner());
+        let _guard = self
+            .writer
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
         let mut table = self.load().table.clone();
         let mut changed = false;
         if let Some(global) = global
--- a/crates/yucca-entry/src/version/sync.rs
+++ b/crates/yucca-entry/src/version/sync.rs
@@ -48,7 +48,9 @@
 ) -> Result<report::Update, String> {
     let report = compose(shared, incarnation);
     let message = codec::encode(shared.deployment, &report).map_err(|error| error.to_string())?;
-    let posted = shared.peers.post(address, report::PATH, body::full(message));
+    let posted = shared
+        .peers
+        .post(address, report::PATH, body::full(message));
     let limit = shared.settings.heartbeat.0 + ANSWER_TIMEOUT;
     let answered = async {
         let response = posted.await.map_err(|error| error.to_string())?;
