--- a/crates/yucca-entry/src/process/announce.rs
+++ b/crates/yucca-entry/src/process/announce.rs
@@ -1,6 +1,7 @@
 //! The listener on which targets announce themselves.
 
 use std::mem;
+use std::net;
 use std::sync;
 
 use http_body_util::BodyExt;
@@ -8,6 +9,7 @@
 use tokio::sync::Notify;
 use yucca_wire::announce;
 use yucca_wire::finding;
+use yucca_wire::id;
 
 use crate::process::shared;
 use crate::request::body;
@@ -30,14 +32,14 @@
 impl Announced {
     /// Takes in a heartbeat.
     pub fn hear(&self, announced: announce::Announce) {
-        let urgent = announced.state != announce::State::Serving;
+        let urgent = leaves(&announced);
         let mut heard = self
             .heard
             .lock()
             .unwrap_or_else(|poison| poison.into_inner());
         let previous = heard.insert(announced.target.clone(), announced);
         drop(heard);
-        if urgent && previous.is_none_or(|previous| previous.state == announce::State::Serving) {
+        if urgent && !previous.as_ref().is_some_and(leaves) {
             self.urgent.notify_one();
         }
     }
@@ -52,6 +54,10 @@
     }
 }
 
+fn leaves(announced: &announce::Announce) -> bool {
+    !matches!(announced.state, None | Some(announce::State::Serving))
+}
+
 /// Answers one request on the announce listener.
 pub async fn serve(
     shared: sync::Arc<shared::Shared>,
@@ -80,31 +86,42 @@
             shared.announced.hear(announced);
             reply(http::StatusCode::NO_CONTENT, String::new())
         }
-        Err(finding) => reply(http::StatusCode::UNPROCESSABLE_ENTITY, finding.to_string()),
+        Err(findings) => {
+            let lines: Vec<String> = findings.iter().map(ToString::to_string).collect();
+            reply(http::StatusCode::UNPROCESSABLE_ENTITY, lines.join("\n"))
+        }
+    }
+}
+
+fn read(bytes: &[u8]) -> Result<announce::Announce, Vec<finding::Finding>> {
+    let announced: announce::Announce = serde_json::from_slice(bytes)
+        .map_err(|error| vec![faulty("announcement", error.to_string())])?;
+    let mut findings = Vec::new();
+    if let Err(error) = announced.address.parse::<net::SocketAddr>() {
+        findings.push(faulty("address", error.to_string()));
+    }
+    if let Err(error) = announced.target.parse::<id::Target>() {
+        findings.push(faulty("target", error.to_string()));
+    }
+    if let Err(error) = announced.service.parse::<id::Service>() {
+        findings.push(faulty("service", error.to_string()));
+    }
+    if findings.is_empty() {
+        Ok(announced)
+    } else {
+        Err(findings)
     }
 }
 
-fn read(bytes: &[u8]) -> Result<announce::Announce, finding::Finding> {
-    let at = |path: String, problem: String| finding::Finding {
+fn faulty(path: &str, problem: String) -> finding::Finding {
+    finding::Finding {
         place: finding::Place {
-            path,
+            path: path.into(),
             ..finding::Place::default()
         },
         problem,
         remedy: "see schema/announce.json".into(),
-    };
-    let announced: announce::Announce = serde_json::from_slice(bytes)
-        .map_err(|error| at("announcement".into(), error.to_string()))?;
-    if let Err(error) = announced.address.parse::<std::net::SocketAddr>() {
-        return Err(at("address".into(), error.to_string()));
-    }
-    if let Err(error) = announced.target.parse::<yucca_wire::id::Target>() {
-        return Err(at("target".into(), error.to_string()));
-    }
-    if let Err(error) = announced.service.parse::<yucca_wire::id::Service>() {
-        return Err(at("service".into(), error.to_string()));
     }
-    Ok(announced)
 }
 
 fn reply(status: http::StatusCode, text: String) -> http::Response<body::Stream> {
--- a/crates/yucca-entry/src/process/lanes/grants.rs
+++ b/crates/yucca-entry/src/process/lanes/grants.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 use tokio::time;
 use yucca_lane::lane;
+use yucca_lane::ledger;
 use yucca_lane::owners;
 use yucca_wire::grant;
 use yucca_wire::id;
@@ -311,15 +312,14 @@
                 token,
                 earlier,
             } => {
-                let entries = match earlier {
-                    Some(earlier) => message::entries(shared, &earlier, scope.shard()).await,
-                    None => None,
+                let ledger = match earlier {
+                    Some(earlier) => message::ledger(shared, &earlier, scope.shard()).await,
+                    None => ledger::Snapshot::default(),
                 };
-                let entries = entries.unwrap_or_default();
                 let change = lane::Change::Grant {
                     scope,
                     token,
-                    entries,
+                    ledger,
                 };
                 runtime.step(shared, lane::Input::Owners(change));
             }
--- a/crates/yucca-entry/src/process/lanes/message.rs
+++ b/crates/yucca-entry/src/process/lanes/message.rs
@@ -13,6 +13,7 @@
 use yucca_wire::id;
 
 use crate::process::lanes::runtime;
+use crate::process::lanes::standbys;
 use crate::process::shared;
 use crate::request::body;
 
@@ -46,21 +47,21 @@
         /// The number of the copy.
         number: u64,
         /// The ledger.
-        entries: Vec<ledger::Entry>,
+        ledger: ledger::Snapshot,
     },
     /// To whom knows the request as perhaps run: this became of it.
     Settle(ledger::Entry),
     /// To the host that takes the lane over in a planned stop.
     HandOver {
         /// The ledger.
-        entries: Vec<ledger::Entry>,
+        ledger: ledger::Snapshot,
         /// How many slots the sender still holds.
         held: id::Slots,
     },
     /// The sender of a handover still holds so many slots.
     Held(id::Slots),
     /// To the lane of a shard's earlier owner: what does the ledger hold of it?
-    Entries(id::Shard),
+    Ledger(id::Shard),
 }
 
 /// The answer to a message.
@@ -76,8 +77,8 @@
     Full,
     /// Leave is not given: a newer entry of the id is known.
     Stale,
-    /// The ledger's entries of a shard.
-    Entries(Vec<ledger::Entry>),
+    /// What the ledger holds of a shard.
+    Ledger(ledger::Snapshot),
     /// The receiver knows nothing of the lane.
     NotHere,
 }
@@ -100,7 +101,7 @@
             Self::NoCopy => lane::Reason::NoCopy,
             Self::Full => lane::Reason::Full,
             Self::Stale => lane::Reason::Stale,
-            Self::Done | Self::Entries(_) | Self::NotHere => lane::Reason::Unreachable,
+            Self::Done | Self::Ledger(_) | Self::NotHere => lane::Reason::Unreachable,
         }
     }
 }
@@ -128,9 +129,9 @@
         lane::Output::CopyAll {
             standby,
             number,
-            entries,
+            ledger,
         } => {
-            let kind = Kind::CopyAll { number, entries };
+            let kind = Kind::CopyAll { number, ledger };
             if let Some(Reply::Done) = send(shared, runtime, &standby, kind).await {
                 runtime.step(shared, lane::Input::Copied { standby, number });
             }
@@ -138,8 +139,8 @@
         lane::Output::Settle { to, entry } => {
             send(shared, runtime, &to, Kind::Settle(entry)).await;
         }
-        lane::Output::HandLedger { to, entries, held } => {
-            send(shared, runtime, &to, Kind::HandOver { entries, held }).await;
+        lane::Output::HandLedger { to, ledger, held } => {
+            send(shared, runtime, &to, Kind::HandOver { ledger, held }).await;
         }
         lane::Output::Held { to, slots } => {
             send(shared, runtime, &to, Kind::Held(slots)).await;
@@ -182,24 +183,36 @@
 
 /// Asks the lane of a shard's earlier owner what its ledger holds of the shard.
 ///
-/// Returns none where no answer came: then what ran there is not known.
-pub async fn entries(
+/// Where no answer comes, what ran there is not known for a whole window.
+pub async fn ledger(
     shared: &sync::Arc<shared::Shared>,
     earlier: &id::Target,
     shard: id::Shard,
-) -> Option<Vec<ledger::Entry>> {
-    let view = shared.current.load();
-    let host = view.target(earlier)?.1.lane.clone()?;
-    drop(view);
+) -> ledger::Snapshot {
+    match ask_ledger(shared, earlier, shard).await {
+        Some(Reply::Ledger(ledger)) => ledger,
+        _ => ledger::Snapshot {
+            entries: Vec::new(),
+            blind: vec![ledger::Blind {
+                shard: Some(shard),
+                lasts: standbys::LEDGER_WINDOW,
+            }],
+        },
+    }
+}
+
+async fn ask_ledger(
+    shared: &sync::Arc<shared::Shared>,
+    earlier: &id::Target,
+    shard: id::Shard,
+) -> Option<Reply> {
+    let host = shared.current.load().target(earlier)?.1.lane.clone()?;
     let message = Message {
         target: earlier.clone(),
         token: id::Token::default(),
-        kind: Kind::Entries(shard),
+        kind: Kind::Ledger(shard),
     };
-    match post(shared, &host, &message).await? {
-        Reply::Entries(entries) => Some(entries),
-        _ => None,
-    }
+    post(shared, &host, &message).await
 }
 
 /// Answers a message.
@@ -213,11 +226,11 @@
     let now = shared.now();
     match kind {
         Kind::Copy(entry) => standbys.step(&target, standby::Input::Copy { token, entry }, now),
-        Kind::CopyAll { number, entries } => {
+        Kind::CopyAll { number, ledger } => {
             let input = standby::Input::CopyAll {
                 token,
                 number,
-                entries,
+                ledger,
             };
             standbys.step(&target, input, now)
         }
@@ -228,10 +241,9 @@
             }
             standbys.step(&target, standby::Input::Settle { token, entry }, now)
         }
-        Kind::HandOver { entries, held } => {
+        Kind::HandOver { ledger, held } => {
             let takeover = lane::Takeover {
-                entries,
-                whole: true,
+                ledger,
                 foreign: held,
                 foreign_until: now + FOREIGN_LIMIT,
             };
@@ -248,8 +260,8 @@
             }
             Reply::Done
         }
-        Kind::Entries(shard) => match shared.lanes.get(&target) {
-            Some(runtime) => Reply::Entries(runtime.entries(shard)),
+        Kind::Ledger(shard) => match shared.lanes.get(&target) {
+            Some(runtime) => Reply::Ledger(runtime.ledger(shard)),
             None => Reply::NotHere,
         },
     }
--- a/crates/yucca-entry/src/process/lanes/runtime.rs
+++ b/crates/yucca-entry/src/process/lanes/runtime.rs
@@ -9,6 +9,7 @@
 use tokio::time;
 use xxhash_rust::xxh3;
 use yucca_lane::lane;
+use yucca_lane::ledger;
 use yucca_lane::request;
 use yucca_wire::head;
 use yucca_wire::id;
@@ -138,11 +139,9 @@
         state.requests.is_empty() && state.lane.load(Duration::ZERO).running == 0
     }
 
-    /// Returns the entries of the ledger that belong to a shard.
-    pub fn entries(&self, shard: id::Shard) -> Vec<yucca_lane::ledger::Entry> {
-        let state = self.lock();
-        let entries = state.lane.ledger().entries();
-        entries.filter(|entry| entry.shard == Some(shard)).collect()
+    /// Returns what the ledger holds of a shard.
+    pub fn ledger(&self, shard: id::Shard) -> ledger::Snapshot {
+        self.lock().lane.snapshot(Some(shard))
     }
 
     /// Returns what was seen since the last call.
@@ -194,8 +193,7 @@
     pub fn takeover(&self, now: Duration) -> lane::Takeover {
         let state = self.lock();
         lane::Takeover {
-            entries: state.lane.ledger().entries().collect(),
-            whole: true,
+            ledger: state.lane.snapshot(None),
             foreign: id::Slots(0),
             foreign_until: now,
         }
--- a/crates/yucca-entry/src/version/sync.rs
+++ b/crates/yucca-entry/src/version/sync.rs
@@ -29,7 +29,12 @@
             log::error!("no control process in the settings; set `control`");
             return;
         };
-        match exchange(&shared, *address, incarnation).await {
+        let exchanged = tokio::select! {
+            // What is urgent goes out in a new report; control has already heard this one.
+            () = shared.announced.urgent.notified() => continue,
+            exchanged = exchange(&shared, *address, incarnation) => exchanged,
+        };
+        match exchanged {
             Ok(update) => take_in(&shared, update),
             Err(reason) => {
                 metrics::counter!("yucca_reports_failed_total").increment(1);
--- a/crates/yucca-lane/src/lane/takeover.rs
+++ b/crates/yucca-lane/src/lane/takeover.rs
@@ -33,7 +33,7 @@
     }
 
     /// Returns a copy of the ledger, of one shard or of all.
-    pub(super) fn snapshot(&self, shard: Option<id::Shard>) -> ledger::Snapshot {
+    pub fn snapshot(&self, shard: Option<id::Shard>) -> ledger::Snapshot {
         let wanted = |of: Option<id::Shard>| shard.is_none() || of == shard;
         let entries = self.ledger.entries();
         let entries = entries.filter(|entry| wanted(entry.shard)).collect();
