--- /dev/null
+++ b/crates/yucca-own/src/domain/evidence.rs
@@ -0,0 +1,354 @@
+//! What the leader of a domain's log saw itself; it is never replicated.
+
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use indexmap::{IndexMap, IndexSet};
+use yucca_wire::announce;
+use yucca_wire::id;
+use yucca_wire::report;
+use yucca_wire::table;
+
+use super::seen::Fading;
+use super::{Announce, State};
+use crate::lease;
+
+/// The window of the rates of shards.
+const SHARD_WINDOW: time::Duration = time::Duration::from_secs(10);
+/// The window of the rates of hot keys.
+const KEY_WINDOW: time::Duration = time::Duration::from_secs(3);
+/// The most hot keys of a service whose rates are kept.
+const MAX_KEYS: usize = 1024;
+
+/// What the leader saw, on the clock of its process.
+#[derive(Debug, Clone)]
+pub struct Evidence {
+    /// When this process became leader.
+    since: time::Duration,
+    pub(super) hosts: IndexMap<id::Host, Host>,
+    pub(super) targets: IndexMap<id::Target, Target>,
+    pub(super) rates: IndexMap<id::Service, Rates>,
+    /// The version of the table that the index below describes.
+    indexed: Option<sync::Arc<table::Local>>,
+    /// The shards of each target.
+    owned: IndexMap<id::Target, IndexSet<id::Shard>>,
+}
+
+/// What was heard of a host.
+#[derive(Debug, Clone)]
+pub(super) struct Host {
+    /// The start of its process.
+    pub incarnation: u64,
+    /// When it was last heard.
+    pub heard: time::Duration,
+    /// When its lease was last renewed.
+    leased: time::Duration,
+    /// Its lease lapsed; it is not renewed before its lanes were taken away.
+    pub lapsed: bool,
+    /// It wants its lanes handed over.
+    pub stopping: bool,
+    /// The global version in force there.
+    pub global: id::Version,
+    /// The domain versions in force there.
+    pub locals: IndexMap<id::Domain, id::Version>,
+    /// When it was first heard without a gap.
+    pub steady_since: time::Duration,
+}
+
+/// What was heard of a target.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Target {
+    /// What it last said of itself.
+    pub announced: Option<Announce>,
+    /// When it last said so.
+    pub heard: time::Duration,
+    /// When its lane first found it dead.
+    pub dead_since: Option<time::Duration>,
+    /// When its lane last found it alive.
+    pub alive_at: Option<time::Duration>,
+    /// The hosts whose lanes found it dead.
+    pub dead_from: IndexSet<id::Host>,
+    /// The token of the lane that reported last.
+    pub token: id::Token,
+    /// What its lane released and the state still waits for.
+    pub released: Vec<report::Release>,
+    /// The standby that has a whole copy of the ledger.
+    pub copied: Option<id::Host>,
+    /// The lane said that it sends nothing more.
+    pub left: bool,
+}
+
+/// The rates of work of one service.
+#[derive(Debug, Clone, Default)]
+pub(super) struct Rates {
+    shards: IndexMap<id::Shard, Fading>,
+    keys: IndexMap<Bytes, Fading>,
+}
+
+impl Rates {
+    /// Returns the rate of a shard, in slot-microseconds a second.
+    pub fn shard(&self, shard: id::Shard, now: time::Duration) -> f32 {
+        let fading = self.shards.get(&shard);
+        fading.map_or(0.0, |fading| fading.rate(now, SHARD_WINDOW))
+    }
+
+    /// Returns the hot keys and their rates.
+    pub fn keys(&self, now: time::Duration) -> impl Iterator<Item = (&Bytes, f32)> {
+        let keys = self.keys.iter();
+        keys.map(move |(key, fading)| (key, fading.rate(now, KEY_WINDOW)))
+    }
+
+    fn add(&mut self, lane: &report::Lane, now: time::Duration) {
+        for (shard, work) in &lane.work {
+            let fading = self.shards.entry(*shard).or_default();
+            fading.add(*work, now, SHARD_WINDOW);
+        }
+        for (key, work) in &lane.hot {
+            let fading = self.keys.entry(key.clone()).or_default();
+            fading.add(*work, now, KEY_WINDOW);
+        }
+        if self.keys.len() > MAX_KEYS {
+            let mut rates: Vec<f32> = self.keys(now).map(|(_, rate)| rate).collect();
+            rates.sort_by(f32::total_cmp);
+            let least = rates[rates.len() - MAX_KEYS / 2];
+            self.keys
+                .retain(|_, fading| fading.rate(now, KEY_WINDOW) >= least);
+        }
+    }
+}
+
+impl Evidence {
+    /// Returns the knowledge of a process that has just become leader.
+    pub fn new(now: time::Duration) -> Self {
+        Self {
+            since: now,
+            hosts: IndexMap::new(),
+            targets: IndexMap::new(),
+            rates: IndexMap::new(),
+            indexed: None,
+            owned: IndexMap::new(),
+        }
+    }
+
+    /// Takes in the report of a host.
+    pub fn hear(&mut self, report: &report::Report, now: time::Duration) {
+        if !self.hear_host(report, now) {
+            return;
+        }
+        for announced in &report.announced {
+            self.hear_announce(announced, now);
+        }
+        for (target, lane) in &report.lanes {
+            self.hear_lane(&report.host, target, lane, now);
+        }
+    }
+
+    /// Takes in what was applied; call it after each application, and before `plan`.
+    pub fn observe(&mut self, state: &State, now: time::Duration) {
+        self.index(&state.table());
+        for (name, host) in &mut self.hosts {
+            let gone = state.hosts.get(name).is_none_or(|known| !known.up);
+            if host.lapsed && gone {
+                host.lapsed = false;
+                host.leased = now;
+            }
+        }
+        let table = &state.table;
+        self.targets
+            .retain(|name, seen| seen.announced.is_some() || table.targets.contains_key(name));
+        for (name, seen) in &mut self.targets {
+            let Some(target) = table.targets.get(name) else {
+                seen.released.clear();
+                continue;
+            };
+            let waits = |release: &report::Release| state.waits_for(name, target, release);
+            seen.released.retain(waits);
+        }
+        self.rates
+            .retain(|service, _| state.global.services.contains_key(service));
+    }
+
+    /// Tells whether a report of a host may be answered by a lease. Only a leader that a quorum
+    /// has confirmed since the report came may say so.
+    pub fn may_lease(&self, state: &State, host: &id::Host) -> bool {
+        let seen = self.hosts.get(host);
+        seen.is_some_and(|seen| !seen.lapsed && state.is_up(host, seen.incarnation))
+    }
+
+    /// Returns what each host reported last, to tell where a version is in force.
+    pub fn versions(
+        &self,
+    ) -> impl Iterator<Item = (&id::Host, id::Version, &IndexMap<id::Domain, id::Version>)> {
+        let hosts = self.hosts.iter();
+        hosts.map(|(name, host)| (name, host.global, &host.locals))
+    }
+
+    /// Returns when this process became leader.
+    pub(super) fn since(&self) -> time::Duration {
+        self.since
+    }
+
+    /// Returns how long a host's lease was not renewed.
+    pub(super) fn lease_age(&self, host: &id::Host, now: time::Duration) -> time::Duration {
+        let leased = self.hosts.get(host).map(|host| host.leased);
+        now.saturating_sub(leased.unwrap_or(self.since))
+    }
+
+    /// Returns the shards of a target.
+    pub(super) fn owned(&self, target: &id::Target) -> impl Iterator<Item = id::Shard> {
+        let owned = self.owned.get(target);
+        owned.into_iter().flatten().copied()
+    }
+
+    fn hear_host(&mut self, report: &report::Report, now: time::Duration) -> bool {
+        let since = self.since;
+        let host = self
+            .hosts
+            .entry(report.host.clone())
+            .or_insert_with(|| Host {
+                incarnation: report.incarnation,
+                heard: now,
+                leased: since,
+                lapsed: false,
+                stopping: false,
+                global: report.global,
+                locals: IndexMap::new(),
+                steady_since: now,
+            });
+        if report.incarnation < host.incarnation {
+            return false;
+        }
+        if report.incarnation > host.incarnation {
+            host.lapsed = true;
+            host.incarnation = report.incarnation;
+            host.steady_since = now;
+        }
+        if now.saturating_sub(host.leased) > lease::grantor(lease::HOST) {
+            host.lapsed = true;
+            host.steady_since = now;
+        }
+        if !host.lapsed {
+            host.leased = now;
+        }
+        host.heard = now;
+        host.stopping = report.stopping;
+        host.global = report.global;
+        host.locals.clone_from(&report.locals);
+        true
+    }
+
+    fn hear_announce(&mut self, announced: &announce::Announce, now: time::Duration) {
+        let Some(announce) = convert(announced) else {
+            return;
+        };
+        let seen = self.targets.entry(announce.target.clone()).or_default();
+        let older = seen.announced.as_ref();
+        if older.is_some_and(|older| older.incarnation > announce.incarnation) {
+            return;
+        }
+        if older.is_none_or(|older| older.incarnation < announce.incarnation) {
+            seen.dead_since = None;
+            seen.dead_from.clear();
+        }
+        seen.heard = now;
+        seen.announced = Some(announce);
+    }
+
+    fn hear_lane(
+        &mut self,
+        host: &id::Host,
+        name: &id::Target,
+        lane: &report::Lane,
+        now: time::Duration,
+    ) {
+        let seen = self.targets.entry(name.clone()).or_default();
+        if lane.token < seen.token {
+            return;
+        }
+        if lane.token > seen.token {
+            seen.token = lane.token;
+            seen.released.clear();
+            seen.left = false;
+            seen.copied = None;
+            seen.dead_since = None;
+        }
+        if lane.alive {
+            seen.alive_at = Some(now);
+            seen.dead_since = None;
+            seen.dead_from.clear();
+        } else {
+            seen.dead_since.get_or_insert(now);
+            seen.dead_from.insert(host.clone());
+        }
+        for release in &lane.released {
+            if !seen.released.contains(release) {
+                seen.released.push(release.clone());
+            }
+        }
+        seen.left |= lane.left;
+        if lane.copied.is_some() {
+            seen.copied.clone_from(&lane.copied);
+        }
+        if let Some(announced) = &seen.announced {
+            let service = announced.service.clone();
+            self.rates.entry(service).or_default().add(lane, now);
+        }
+    }
+
+    /// Brings the index of owners up to date, in proportion to what changed.
+    fn index(&mut self, table: &sync::Arc<table::Local>) {
+        let before = self.indexed.replace(sync::Arc::clone(table));
+        if before
+            .as_ref()
+            .is_some_and(|before| sync::Arc::ptr_eq(before, table))
+        {
+            return;
+        }
+        let none = yucca_wire::shards::Owners::new();
+        let old_of = |service: &id::Service| {
+            let owners = before
+                .as_ref()
+                .and_then(|before| before.owners.get(service));
+            owners.unwrap_or(&none)
+        };
+        let removed = before.iter().flat_map(|before| before.owners.keys());
+        let removed = removed.filter(|service| !table.owners.contains_key(*service));
+        let services: Vec<&id::Service> = table.owners.keys().chain(removed).collect();
+        let owned = &mut self.owned;
+        for service in services {
+            let old = old_of(service);
+            let new = table.owners.get(service).unwrap_or(&none);
+            new.changes(old, |shard, owner| {
+                let was = old.get(&shard).map(|owner| &owner.target);
+                let is = owner.map(|owner| &owner.target);
+                if was == is {
+                    return;
+                }
+                if let Some(shards) = was.and_then(|was| owned.get_mut(was)) {
+                    shards.swap_remove(&shard);
+                }
+                if let Some(is) = is {
+                    owned.entry(is.clone()).or_default().insert(shard);
+                }
+            });
+        }
+    }
+}
+
+/// Reads an announcement; one that names no valid target is passed over.
+fn convert(given: &announce::Announce) -> Option<Announce> {
+    let state = given.state.as_ref();
+    Some(Announce {
+        target: given.target.parse().ok()?,
+        service: given.service.parse().ok()?,
+        address: given.address.parse().ok()?,
+        incarnation: given.incarnation,
+        slots: id::Slots(given.slots.get()),
+        connections: given.connections.get(),
+        checks_tokens: given.checks_tokens,
+        draining: matches!(state, Some(announce::State::Draining)),
+        leaving: matches!(state, Some(announce::State::Leaving)),
+        warm: given.warm.unwrap_or(1.0).clamp(0.0, 1.0) as f32,
+    })
+}
--- /dev/null
+++ b/crates/yucca-own/src/domain/plan/hosts.rs
@@ -0,0 +1,41 @@
+//! Which hosts may hold lanes.
+
+use std::time;
+
+use crate::domain::{Command, Evidence, State};
+use crate::lease;
+
+pub(super) fn plan(
+    state: &State,
+    evidence: &Evidence,
+    now: time::Duration,
+    commands: &mut Vec<Command>,
+) {
+    for (name, host) in state.hosts.iter().filter(|(_, host)| host.up) {
+        let seen = evidence.hosts.get(name);
+        let lapsed = seen.is_some_and(|seen| seen.lapsed || seen.incarnation != host.incarnation);
+        if lapsed || evidence.lease_age(name, now) > lease::grantor(lease::HOST) {
+            commands.push(Command::HostLost {
+                host: name.clone(),
+                incarnation: host.incarnation,
+            });
+        } else if seen.is_some_and(|seen| seen.stopping) && !host.stopping {
+            commands.push(Command::Stopping {
+                host: name.clone(),
+                incarnation: host.incarnation,
+            });
+        }
+    }
+    let domain = state.global.domains.get(state.domain());
+    for (name, seen) in &evidence.hosts {
+        let known = domain.is_some_and(|domain| domain.hosts.contains_key(name));
+        let up = state.hosts.get(name).is_some_and(|host| host.up);
+        let fresh = now.saturating_sub(seen.heard) <= lease::HOST;
+        if known && !up && fresh && !seen.lapsed && !seen.stopping {
+            commands.push(Command::HostUp {
+                host: name.clone(),
+                incarnation: seen.incarnation,
+            });
+        }
+    }
+}
--- /dev/null
+++ b/crates/yucca-own/src/domain/plan/lanes.rs
@@ -0,0 +1,205 @@
+//! Which host holds each target's lane, and which stands by.
+
+use std::time;
+
+use indexmap::IndexMap;
+use yucca_wire::id;
+use yucca_wire::table;
+
+use crate::domain::evidence::Target;
+use crate::domain::{Command, Evidence, State};
+
+/// How long a host must have been heard without a gap before lanes move to it for balance.
+const STEADY: time::Duration = time::Duration::from_secs(5);
+/// The difference in lanes between two hosts from which on one moves.
+const IMBALANCE: usize = 2;
+/// How long a lane must find a heard target dead before another host tries.
+const TRY_ELSEWHERE: time::Duration = time::Duration::from_millis(300);
+
+/// How many lanes and standbys each host has.
+type Counts = IndexMap<id::Host, Count>;
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Count {
+    lanes: usize,
+    standbys: usize,
+}
+
+pub(super) fn plan(
+    state: &State,
+    evidence: &Evidence,
+    now: time::Duration,
+    commands: &mut Vec<Command>,
+) {
+    let mut counts = count(state);
+    for (name, target) in &state.table.targets {
+        let seen = evidence.targets.get(name);
+        if let Some(command) = hear(state, name, target, seen) {
+            commands.push(command);
+        }
+        let command = assign(state, name, target, &mut counts)
+            .or_else(|| stand_by(state, name, target, &mut counts))
+            .or_else(|| hand_over(state, name, target, seen, now));
+        commands.extend(command);
+    }
+    commands.extend(balance(state, evidence, now, &counts));
+}
+
+fn count(state: &State) -> Counts {
+    let hosts = state.hosts.keys().filter(|host| state.takes_lanes(host));
+    let mut counts: Counts = hosts.map(|host| (host.clone(), Count::default())).collect();
+    for (name, target) in &state.table.targets {
+        if let Some(count) = target.lane.as_ref().and_then(|host| counts.get_mut(host)) {
+            count.lanes += 1;
+        }
+        let ending = state.targets.get(name).is_some_and(|t| t.ending.is_some());
+        let standby = target
+            .standby
+            .as_ref()
+            .and_then(|host| counts.get_mut(host));
+        match standby {
+            Some(count) if ending => count.lanes += 1,
+            Some(count) => count.standbys += 1,
+            None => {}
+        }
+    }
+    counts
+}
+
+/// Passes on what the lane reported about itself.
+fn hear(
+    state: &State,
+    name: &id::Target,
+    target: &table::Target,
+    seen: Option<&Target>,
+) -> Option<Command> {
+    let seen = seen.filter(|seen| seen.token == target.token)?;
+    let known = state.targets.get(name)?;
+    let (target_name, token) = (name.clone(), target.token);
+    if seen.left && known.ending.is_some() {
+        return Some(Command::Left {
+            target: target_name,
+            token,
+        });
+    }
+    let copied = seen.copied.as_ref()?;
+    let news = target.standby.as_ref() == Some(copied) && known.copied.as_ref() != Some(copied);
+    (news && target.lane.is_some()).then(|| Command::Copied {
+        target: target_name,
+        token,
+        host: copied.clone(),
+    })
+}
+
+fn assign(
+    state: &State,
+    name: &id::Target,
+    target: &table::Target,
+    counts: &mut Counts,
+) -> Option<Command> {
+    let ending = state.targets.get(name).and_then(|t| t.ending.as_ref());
+    if target.lane.is_some() || ending.is_some() {
+        return None;
+    }
+    let (host, count) = counts
+        .iter_mut()
+        .min_by_key(|(_, count)| (count.lanes, count.standbys))?;
+    count.lanes += 1;
+    Some(Command::Lane {
+        target: name.clone(),
+        token: target.token,
+        host: host.clone(),
+    })
+}
+
+fn stand_by(
+    state: &State,
+    name: &id::Target,
+    target: &table::Target,
+    counts: &mut Counts,
+) -> Option<Command> {
+    let lane = target.lane.as_ref()?;
+    let usable = target
+        .standby
+        .as_ref()
+        .is_some_and(|host| state.takes_lanes(host));
+    if usable {
+        return None;
+    }
+    let others = counts.iter_mut().filter(|(host, _)| *host != lane);
+    let (host, count) = others.min_by_key(|(_, count)| (count.standbys, count.lanes))?;
+    count.standbys += 1;
+    Some(Command::Standby {
+        target: name.clone(),
+        token: target.token,
+        host: host.clone(),
+    })
+}
+
+/// Ends a lane whose host stops, or from which the target cannot be reached.
+fn hand_over(
+    state: &State,
+    name: &id::Target,
+    target: &table::Target,
+    seen: Option<&Target>,
+    now: time::Duration,
+) -> Option<Command> {
+    let lane = target.lane.as_ref()?;
+    let standby = target.standby.as_ref()?;
+    let stopping = !state.takes_lanes(lane);
+    let copied = state.targets.get(name).and_then(|t| t.copied.as_ref());
+    let unreachable = seen.is_some_and(|seen| {
+        let dead_for = |since: time::Duration| now.saturating_sub(since);
+        let dead = seen
+            .dead_since
+            .is_some_and(|since| seen.heard > since && dead_for(since) >= TRY_ELSEWHERE);
+        dead && !seen.dead_from.contains(standby)
+    });
+    let ready = copied == Some(standby);
+    ((stopping && ready) || unreachable).then(|| Command::Yield {
+        target: name.clone(),
+        token: target.token,
+    })
+}
+
+/// Moves one lane at a time from the host with the most to the one with the fewest.
+fn balance(
+    state: &State,
+    evidence: &Evidence,
+    now: time::Duration,
+    counts: &Counts,
+) -> Option<Command> {
+    if state.targets.values().any(|target| target.ending.is_some()) {
+        return None;
+    }
+    let (most, high) = counts.iter().max_by_key(|(_, count)| count.lanes)?;
+    let (least, low) = counts.iter().min_by_key(|(_, count)| count.lanes)?;
+    let steady = evidence
+        .hosts
+        .get(least)
+        .is_some_and(|seen| now.saturating_sub(seen.steady_since) >= STEADY);
+    if high.lanes < low.lanes + IMBALANCE || !steady {
+        return None;
+    }
+    let targets = state.table.targets.iter();
+    let mut held = targets.filter(|(_, target)| target.lane.as_ref() == Some(most));
+    let ready = held.clone().find(|(name, target)| {
+        let copied = state.targets.get(*name).and_then(|t| t.copied.as_ref());
+        target.standby.as_ref() == Some(least) && copied == Some(least)
+    });
+    if let Some((name, target)) = ready {
+        return Some(Command::Yield {
+            target: name.clone(),
+            token: target.token,
+        });
+    }
+    let prepared = held
+        .clone()
+        .any(|(_, target)| target.standby.as_ref() == Some(least));
+    let (name, target) = held.next().filter(|_| !prepared)?;
+    Some(Command::Standby {
+        target: name.clone(),
+        token: target.token,
+        host: least.clone(),
+    })
+}
--- a/crates/yucca-own/src/lib.rs
+++ b/crates/yucca-own/src/lib.rs
@@ -5,6 +5,8 @@
 //! what to propose next. Every command carries what it presumes, and has no effect where that no
 //! longer holds, so that a late or repeated one does no harm. See `docs/design/`.
 
+pub mod delta;
+pub mod domain;
 pub mod global;
 pub mod lease;
 pub mod ticket;
--- a/crates/yucca-wire/src/report.rs
+++ b/crates/yucca-wire/src/report.rs
@@ -48,6 +48,9 @@
     pub work: IndexMap<id::Shard, u64>,
     /// The work done for the hottest keys, in slot-microseconds.
     pub hot: IndexMap<Bytes, u64>,
+    /// Whether a lane that was to end sends nothing more to its target.
+    #[serde(default)]
+    pub left: bool,
 }
 
 /// What a lane no longer sends to its target.
