--- a/crates/yucca-log/src/entry.rs
+++ b/crates/yucca-log/src/entry.rs
@@ -8,6 +8,9 @@
 
 use crate::membership;
 
+/// The approximate encoded size of an entry without its body, in bytes.
+pub(crate) const OVERHEAD_BYTES: usize = 24;
+
 /// A term: a period with at most one leader.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -62,8 +65,7 @@
 }
 
 impl Body {
-    /// Returns the approximate encoded size in bytes.
-    pub fn size(&self) -> usize {
+    fn size(&self) -> usize {
         match self {
             Self::Blank => 0,
             Self::Data(data) => data.len(),
@@ -86,6 +88,11 @@
     pub fn version(&self) -> id::Version {
         self.position.version
     }
+
+    /// Returns the approximate encoded size in bytes.
+    pub fn size(&self) -> usize {
+        self.body.size() + OVERHEAD_BYTES
+    }
 }
 
 /// A snapshot of the state machine, with the membership in force at its position.
--- a/crates/yucca-log/src/log.rs
+++ b/crates/yucca-log/src/log.rs
@@ -142,7 +142,7 @@
         let mut bytes = 0;
         let mut slice = Vec::new();
         for entry in self.entries.iter().skip(start) {
-            bytes += entry.body.size();
+            bytes += entry.size();
             if !slice.is_empty() && bytes > max_bytes {
                 break;
             }
@@ -194,7 +194,7 @@
 
     /// Returns the size of the entries held, in bytes.
     pub fn bytes(&self) -> usize {
-        let sizes = self.entries.iter().map(|e| e.body.size());
+        let sizes = self.entries.iter().map(entry::Entry::size);
         sizes.sum::<usize>() + self.entries.len() * size_of::<entry::Entry>()
     }
 }
--- a/crates/yucca-log/src/node.rs
+++ b/crates/yucca-log/src/node.rs
@@ -8,9 +8,12 @@
 mod config;
 mod election;
 mod follower;
+mod handover;
 mod io;
 mod join;
 mod leader;
+mod outbox;
+mod read;
 mod replicate;
 mod snapshot;
 mod writer;
@@ -277,66 +280,6 @@
         self.ask_snapshot();
     }
 
-    fn persist(&mut self, work: writer::Work) {
-        self.outputs.push(Output::Persist {
-            sequence: work.sequence,
-            records: work.records,
-        });
-    }
-
-    fn synced(&mut self, upto: u64) {
-        for effect in self.writer.synced(upto) {
-            self.perform(effect);
-        }
-    }
-
-    fn full(&mut self, sequence: u64) {
-        self.writer.full(sequence, self.now);
-        if self.is_leader() && self.writer.is_full() {
-            self.transfer(None);
-        }
-    }
-
-    fn perform(&mut self, effect: writer::Effect) {
-        match effect {
-            writer::Effect::Send { to, message } => {
-                self.outputs.push(Output::Send { to, message });
-            }
-            writer::Effect::OwnVote(term) => self.on_own_vote(term),
-        }
-    }
-
-    fn message(&self, to: &membership::Replica, body: message::Body) -> message::Message {
-        message::Message {
-            group: self.group,
-            cluster: self.cluster,
-            from: self.replica.incarnation,
-            to: Some(to.incarnation),
-            term: self.term,
-            body,
-        }
-    }
-
-    /// Sends without waiting for the disk.
-    fn send_free(&mut self, to: &membership::Replica, body: message::Body) {
-        let message = self.message(to, body);
-        let to = to.host.clone();
-        self.outputs.push(Output::Send { to, message });
-    }
-
-    /// Sends once all records so far are synced.
-    fn send_synced(&mut self, to: &membership::Replica, body: message::Body) {
-        let message = self.message(to, body);
-        let to = to.host.clone();
-        self.gate(writer::Effect::Send { to, message });
-    }
-
-    fn gate(&mut self, effect: writer::Effect) {
-        if let Some(effect) = self.writer.gate(effect) {
-            self.perform(effect);
-        }
-    }
-
     /// Draws a time of up to `span`.
     fn jitter(&mut self, span: Duration) -> Duration {
         let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
--- a/crates/yucca-log/src/node/leader.rs
+++ b/crates/yucca-log/src/node/leader.rs
@@ -9,7 +9,6 @@
 
 use crate::entry;
 use crate::membership;
-use crate::message;
 use crate::node::{Node, Output, Refusal, State};
 use crate::progress;
 use crate::storage;
@@ -129,7 +128,7 @@
             return;
         }
         let version = self.append_own(entry::Body::Data(data));
-        self.await_commit(ticket, version, bytes);
+        self.await_commit(ticket, version, bytes + entry::OVERHEAD_BYTES);
     }
 
     pub(super) fn await_commit(&mut self, ticket: u64, version: id::Version, bytes: usize) {
@@ -165,57 +164,6 @@
         self.outputs.push(Output::Proposed { ticket, result });
     }
 
-    pub(super) fn read(&mut self, ticket: u64) {
-        let leader = self.leader().cloned();
-        let State::Leader(lead) = &mut self.state else {
-            let refusal = Refusal::NotLeader { leader };
-            self.outputs.push(Output::ReadRefused { ticket, refusal });
-            return;
-        };
-        // Reads that come while a round is unanswered share the next one.
-        let round = lead.round + 1;
-        let idle = lead.reads.is_empty();
-        lead.reads.push_back(Read { ticket, round });
-        if idle {
-            self.heartbeat();
-        }
-    }
-
-    /// Answers the reads whose round a quorum has answered.
-    pub(super) fn answer_reads(&mut self) {
-        let confirmed = self.confirmed_round();
-        let commit = self.commit;
-        let State::Leader(lead) = &mut self.state else {
-            return;
-        };
-        if commit < lead.first || lead.reads.is_empty() {
-            return;
-        }
-        let ready = lead.reads.partition_point(|read| read.round <= confirmed);
-        let answered: Vec<Read> = lead.reads.drain(..ready).collect();
-        let waits = lead
-            .reads
-            .front()
-            .is_some_and(|read| read.round > lead.round);
-        for read in &answered {
-            self.outputs.push(Output::ReadReady {
-                ticket: read.ticket,
-                version: commit,
-            });
-        }
-        if waits && !answered.is_empty() {
-            self.heartbeat();
-        }
-    }
-
-    /// Returns the newest round that a quorum has answered.
-    fn confirmed_round(&self) -> u64 {
-        let State::Leader(lead) = &self.state else {
-            return 0;
-        };
-        self.quorum_value(lead.round, |progress| progress.round)
-    }
-
     /// Returns the greatest value that a quorum of voters has reached.
     pub(super) fn quorum_value<T: Ord + Copy>(
         &self,
@@ -267,40 +215,6 @@
         self.hand_over();
     }
 
-    pub(super) fn transfer(&mut self, to: Option<id::Host>) {
-        let until = self.now + self.silence();
-        let voters = self.log.members().voters().to_vec();
-        let State::Leader(lead) = &mut self.state else {
-            return;
-        };
-        let known = lead.progress.iter().filter(|(replica, progress)| {
-            let wanted = to.as_ref().is_none_or(|host| *host == replica.host);
-            wanted && progress.answered && voters.contains(replica)
-        });
-        let best = known.max_by_key(|(_, progress)| progress.matched);
-        let Some(to) = best.map(|(replica, _)| replica.clone()) else {
-            return;
-        };
-        lead.transfer = Some(Transfer { to, until });
-        self.hand_over();
-    }
-
-    /// Lets the next leader campaign once it holds the whole log.
-    pub(super) fn hand_over(&mut self) {
-        let last = self.log.last().version;
-        let State::Leader(lead) = &self.state else {
-            return;
-        };
-        let Some(transfer) = &lead.transfer else {
-            return;
-        };
-        let to = transfer.to.clone();
-        let ready = lead.progress.get(&to).is_some_and(|p| p.matched == last);
-        if ready {
-            self.send_free(&to, message::Body::Campaign);
-        }
-    }
-
     /// Answers what was under way when leadership was lost.
     pub(super) fn abandon(&mut self, lead: Lead) {
         for proposal in lead.proposals {
--- /dev/null
+++ b/crates/yucca-log/src/node/read.rs
@@ -0,0 +1,57 @@
+//! Linearizable reads: a quorum confirms the leader after each read came.
+
+use crate::node::leader::Read;
+use crate::node::{Node, Output, Refusal, State};
+
+impl Node {
+    pub(super) fn read(&mut self, ticket: u64) {
+        let leader = self.leader().cloned();
+        let State::Leader(lead) = &mut self.state else {
+            let refusal = Refusal::NotLeader { leader };
+            self.outputs.push(Output::ReadRefused { ticket, refusal });
+            return;
+        };
+        // Reads that come while a round is unanswered share the next one.
+        let round = lead.round + 1;
+        let idle = lead.reads.is_empty();
+        lead.reads.push_back(Read { ticket, round });
+        if idle {
+            self.heartbeat();
+        }
+    }
+
+    /// Answers the reads whose round a quorum has answered.
+    pub(super) fn answer_reads(&mut self) {
+        let confirmed = self.confirmed_round();
+        let commit = self.commit;
+        let State::Leader(lead) = &mut self.state else {
+            return;
+        };
+        if commit < lead.first || lead.reads.is_empty() {
+            return;
+        }
+        let ready = lead.reads.partition_point(|read| read.round <= confirmed);
+        let answered: Vec<Read> = lead.reads.drain(..ready).collect();
+        let waits = lead
+            .reads
+            .front()
+            .is_some_and(|read| read.round > lead.round);
+        for read in &answered {
+            self.outputs.push(Output::ReadReady {
+                ticket: read.ticket,
+                version: commit,
+            });
+        }
+        if waits && !answered.is_empty() {
+            self.heartbeat();
+        }
+    }
+
+    /// Returns the newest round that a quorum has answered.
+    fn confirmed_round(&self) -> u64 {
+        let State::Leader(lead) = &self.state else {
+            return 0;
+        };
+        self.quorum_value(lead.round, |progress| progress.round)
+    }
+}
--- a/crates/yucca-log/src/storage.rs
+++ b/crates/yucca-log/src/storage.rs
@@ -4,6 +4,7 @@
 pub mod file;
 mod frame;
 pub mod memory;
+mod read;
 
 use serde::{Deserialize, Serialize};
 use yucca_wire::id;
--- a/crates/yucca-log/src/storage/file.rs
+++ b/crates/yucca-log/src/storage/file.rs
@@ -10,8 +10,7 @@
 
 use yucca_wire::id;
 
-use crate::storage::frame;
-use crate::storage::{Error, Image, Record, Recovered, Store};
+use crate::storage::{Error, Record, Recovered, Store, frame, read};
 
 /// The log.
 const LOG: &str = "log";
@@ -68,7 +67,7 @@
             write_next(path, &frame::preamble(&identity)?, options.quota)?;
         }
         let bytes = fs::read(&log).map_err(|e| io_error(&log, "read", &e))?;
-        let contents = parse(&log, &bytes)?;
+        let contents = read::parse(&log, &bytes)?;
         options.check(&log, &contents.identity)?;
         let mut file = open_log(&log)?;
         cut(&log, &mut file, contents.end)?;
@@ -181,70 +180,6 @@
     }
 }
 
-/// What a log file holds.
-struct Contents {
-    identity: frame::Identity,
-    image: Image,
-    end: u64,
-}
-
-fn parse(path: &path::Path, bytes: &[u8]) -> Result<Contents, Error> {
-    let identity_frame = check_preamble(path, bytes)?;
-    let mut offset = frame::PREAMBLE_BYTES + frame::HEAD_BYTES + identity_frame.len();
-    let decoded = frame::decode(identity_frame);
-    let identity = decoded.map_err(|e| corrupt(path, frame::PREAMBLE_BYTES, &e))?;
-    let mut image = Image::default();
-    while let Some(payload) = next_frame(path, bytes, offset)? {
-        let decoded = frame::decode::<Vec<Record>>(payload);
-        let records = decoded.map_err(|e| corrupt(path, offset, &e))?;
-        for record in records {
-            image.apply(record);
-        }
-        offset += frame::HEAD_BYTES + payload.len();
-    }
-    if !image.is_contiguous() {
-        return Err(corrupt(path, offset, "versions are missing"));
-    }
-    Ok(Contents {
-        identity,
-        image,
-        end: offset as u64,
-    })
-}
-
-fn check_preamble<'a>(path: &path::Path, bytes: &'a [u8]) -> Result<&'a [u8], Error> {
-    let (Some(magic), Some(format)) = (bytes.get(..4), bytes.get(4..frame::PREAMBLE_BYTES)) else {
-        return Err(corrupt(path, 0, "the file ends in its first bytes"));
-    };
-    if magic != frame::MAGIC {
-        return Err(corrupt(path, 0, "not a log file"));
-    }
-    let found = u16::from_le_bytes([format[0], format[1]]);
-    if found > frame::FORMAT {
-        return Err(Error::Newer {
-            path: path.into(),
-            found,
-            supported: frame::FORMAT,
-        });
-    }
-    match frame::read(&bytes[frame::PREAMBLE_BYTES..]) {
-        frame::Found::Whole(payload) => Ok(payload),
-        _ => Err(corrupt(path, frame::PREAMBLE_BYTES, "no valid identity")),
-    }
-}
-
-fn next_frame<'a>(
-    path: &path::Path,
-    bytes: &'a [u8],
-    offset: usize,
-) -> Result<Option<&'a [u8]>, Error> {
-    match frame::read(&bytes[offset..]) {
-        frame::Found::Whole(payload) => Ok(Some(payload)),
-        frame::Found::End | frame::Found::Torn => Ok(None),
-        frame::Found::Damaged(reason) => Err(corrupt(path, offset, reason)),
-    }
-}
-
 fn lock(folder: &path::Path) -> Result<fs::File, Error> {
     let path = folder.join(LOCK);
     let file = fs::File::create(&path).map_err(|e| io_error(&path, "create", &e))?;
@@ -324,11 +259,3 @@
         bytes,
     }
 }
-
-fn corrupt(path: &path::Path, offset: usize, reason: &str) -> Error {
-    Error::Corrupt {
-        path: path.into(),
-        offset: offset as u64,
-        reason: reason.into(),
-    }
-}
