Wire: an update tells whether the host's lease runs anew; a header names the sender

Cause: an entry host may use its lanes only while the leader of its domain hears it, and a ticket records who sent it. Change: Update.leased, false where absent; auth::SENDER_HEADER.

--- a/crates/yucca-wire/src/auth.rs
+++ b/crates/yucca-wire/src/auth.rs
@@ -8,6 +8,9 @@
 /// The scheme of the `authorization` header.
 const SCHEME: &str = "Bearer ";
 
+/// The header by which an operator states who sends a ticket.
+pub const SENDER_HEADER: &str = "yucca-sender";
+
 /// A shared secret from the settings.
 #[derive(Clone, PartialEq, Eq, Deserialize)]
 #[serde(transparent)]
--- a/crates/yucca-wire/src/report.rs
+++ b/crates/yucca-wire/src/report.rs
@@ -68,6 +68,10 @@
     pub global: Option<Change<table::Global>>,
     /// The domains' parts that are newer.
     pub locals: Vec<Change<table::Local>>,
+    /// The domain's leader heard the report and the host may hold lanes: its lease runs anew from
+    /// when it sent the report.
+    #[serde(default)]
+    pub leased: bool,
 }
 
 /// A change to a part of the table.
