--- a/crates/yucca-entry/src/process/lanes.rs
+++ b/crates/yucca-entry/src/process/lanes.rs
@@ -32,6 +32,8 @@
 pub struct Lanes {
     // First in the lock order.
     open: sync::Mutex<IndexMap<id::Target, sync::Arc<runtime::Runtime>>>,
+    // Until when the lanes may send; a leaf in the lock order.
+    lease: sync::Mutex<Duration>,
     /// The ledgers kept for lanes of other hosts.
     pub standbys: standbys::Standbys,
 }
@@ -43,6 +45,14 @@
             .unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Returns until when the lanes may send.
+    pub fn lease(&self) -> Duration {
+        *self
+            .lease
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// Returns the lane of a target, where this host holds it.
     pub fn get(&self, target: &id::Target) -> Option<sync::Arc<runtime::Runtime>> {
         self.lock().get(target).cloned()
@@ -69,6 +79,21 @@
     runtime.run(shared, head, stream, deadline).await
 }
 
+/// Lets the lanes send until a later time.
+pub fn renew(shared: &sync::Arc<shared::Shared>, until: Duration) {
+    let lanes = &shared.lanes;
+    {
+        let mut lease = lanes
+            .lease
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        *lease = until.max(*lease);
+    }
+    for runtime in lanes.all() {
+        runtime.step(shared, lane::Input::Renew { until });
+    }
+}
+
 /// Wakes each lane when it wants to be.
 pub async fn tick(shared: sync::Arc<shared::Shared>) {
     let mut interval = time::interval(TICK);
--- a/crates/yucca-entry/src/process/lanes/reconcile.rs
+++ b/crates/yucca-entry/src/process/lanes/reconcile.rs
@@ -157,6 +157,7 @@
     };
     let config = lane::Config {
         blind: earlier.is_some(),
+        lease: Some(shared.lanes.lease()),
         ..config
     };
     let lane = lane::Lane::new(config.clone(), shared.now());
--- a/crates/yucca-entry/src/request/forward.rs
+++ b/crates/yucca-entry/src/request/forward.rs
@@ -242,7 +242,7 @@
             idempotent: self.request.idempotent,
             remaining_us: left.as_micros() as u64,
             relayed: false,
-            resent: self.resent,
+            resent: self.resent || self.request.own_id,
             length: self.length,
             method: self.parts.method.to_string(),
             uri: path.map_or_else(|| "/".into(), ToString::to_string),
--- a/crates/yucca-entry/src/request/parse.rs
+++ b/crates/yucca-entry/src/request/parse.rs
@@ -31,6 +31,8 @@
     pub key: Option<Bytes>,
     /// The id under which it runs at most once.
     pub id: id::Request,
+    /// Whether the caller chose the id, so that it may have been used before.
+    pub own_id: bool,
     /// The work class.
     pub class: table::Class,
     /// Whether running it again does no harm.
@@ -48,6 +50,7 @@
 /// well-formed headers.
 pub fn read(view: &view::View, parts: &request::Parts) -> Result<Request, problem::Problem> {
     check_method(&parts.method)?;
+    check_framing(parts)?;
     let path = parts.uri.path();
     let found = view.find(path).ok_or_else(|| no_service(path))?;
     let service = found.service;
@@ -60,9 +63,11 @@
     let remaining = read_deadline(parts)?.unwrap_or(default.unwrap_or(service.deadline).0);
     let body_limit = service.limits.body.0;
     check_length(parts, body_limit)?;
+    let own_id = read_id(parts, found.name, key.as_deref())?;
     Ok(Request {
         service: found.name.clone(),
-        id: read_id(parts, found.name, key.as_deref())?,
+        id: own_id.unwrap_or_else(|| id::Request(rand::random())),
+        own_id: own_id.is_some(),
         key,
         class: route.map_or(table::Class::Short, |route| route.class),
         idempotent: route.is_some_and(|route| route.idempotent),
@@ -91,6 +96,18 @@
     Ok(())
 }
 
+fn check_framing(parts: &request::Parts) -> Result<(), problem::Problem> {
+    // Two readers may take the end of such a body from different fields.
+    let headers = &parts.headers;
+    if headers.contains_key(header::CONTENT_LENGTH)
+        && headers.contains_key(header::TRANSFER_ENCODING)
+    {
+        let detail = "content-length and transfer-encoding exclude each other";
+        return Err(refuse(problem::Kind::BadRequest, detail));
+    }
+    Ok(())
+}
+
 fn check_length(parts: &request::Parts, limit: u64) -> Result<(), problem::Problem> {
     let Some(value) = one_header(parts, header::CONTENT_LENGTH.as_str())? else {
         return Ok(());
@@ -201,9 +218,9 @@
     parts: &request::Parts,
     service: &id::Service,
     key: Option<&[u8]>,
-) -> Result<id::Request, problem::Problem> {
+) -> Result<Option<id::Request>, problem::Problem> {
     let Some(value) = one_header(parts, IDEMPOTENCY_KEY)? else {
-        return Ok(id::Request(rand::random()));
+        return Ok(None);
     };
     if value.is_empty() {
         let detail = format!("{IDEMPOTENCY_KEY} is empty");
@@ -215,7 +232,7 @@
         hasher.update(&(part.len() as u64).to_le_bytes());
         hasher.update(part);
     }
-    Ok(id::Request(hasher.digest128()))
+    Ok(Some(id::Request(hasher.digest128())))
 }
 
 fn find_route<'a>(
--- a/crates/yucca-entry/src/version/sync.rs
+++ b/crates/yucca-entry/src/version/sync.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::time;
+use yucca_own::lease;
 use yucca_wire::codec;
 use yucca_wire::report;
 
@@ -29,13 +30,14 @@
             log::error!("no control process in the settings; set `control`");
             return;
         };
+        let sent = shared.now();
         let exchanged = tokio::select! {
             // What is urgent goes out in a new report; control has already heard this one.
             () = shared.announced.urgent.notified() => continue,
             exchanged = exchange(&shared, *address, incarnation) => exchanged,
         };
         match exchanged {
-            Ok(update) => take_in(&shared, update),
+            Ok(update) => take_in(&shared, update, sent),
             Err(reason) => {
                 metrics::counter!("yucca_reports_failed_total").increment(1);
                 log::debug!("report to {address} failed: {reason}");
@@ -85,7 +87,12 @@
     }
 }
 
-fn take_in(shared: &sync::Arc<shared::Shared>, update: report::Update) {
+fn take_in(shared: &sync::Arc<shared::Shared>, update: report::Update, sent: Duration) {
+    if update.leased {
+        // Counted from when the report was sent: control heard it later, so its own count ends
+        // later.
+        lanes::renew(shared, sent + lease::holder(lease::HOST));
+    }
     let earlier = shared.current.load();
     let global = update.global.and_then(|change| match change {
         report::Change::Snapshot(global) => Some(sync::Arc::new(global)),
--- a/crates/yucca-entry/src/version/view.rs
+++ b/crates/yucca-entry/src/version/view.rs
@@ -55,7 +55,7 @@
             return Some(Found {
                 name: &prefix.service,
                 service,
-                rest: rest.trim_start_matches('/'),
+                rest: rest.strip_prefix('/').unwrap_or(rest),
             });
         }
         None
