--- /dev/null
+++ b/crates/yucca-log/tests/quorum_rule.rs
@@ -0,0 +1,114 @@
+//! The quorum rule of a domain's log.
+#![allow(clippy::unwrap_used, clippy::panic)]
+
+use test_case::test_case;
+use yucca_log::membership::{Change, Members, Replica, Standing, next_change, quorum_holds_local};
+
+/// Hosts are named by kind: `l` local with a disk, `m` local without one, `w` witness.
+fn replica(name: &str) -> Replica {
+    Replica {
+        host: name.parse().unwrap(),
+        incarnation: 1,
+    }
+}
+
+fn standing(name: &str, alive: bool) -> Standing {
+    Standing {
+        replica: replica(name),
+        local: !name.starts_with('w'),
+        disk: !name.starts_with('m'),
+        alive,
+        caught_up: true,
+    }
+}
+
+/// Applies the rule until it is met and checks each step; returns the voters.
+fn settle(voters: &[&str], alive: &[&str], dead: &[&str]) -> Vec<String> {
+    let mut members = Members::new(voters.iter().map(|name| replica(name)));
+    let mut standings: Vec<Standing> = alive.iter().map(|name| standing(name, true)).collect();
+    standings.extend(dead.iter().map(|name| standing(name, false)));
+    let leader = replica(alive[0]);
+    for _ in 0..30 {
+        let Some(change) = next_change(&members, &leader, &standings) else {
+            let voters = members.voters().iter();
+            return voters.map(|voter| voter.host.to_string()).collect();
+        };
+        members = members.with(&change).unwrap();
+        let is_witness = |voter: &&Replica| voter.host.as_str().starts_with('w');
+        let witnesses = members.voters().iter().filter(is_witness).count();
+        let locals = members.voters().len() - witnesses;
+        assert!(
+            quorum_holds_local(locals, witnesses),
+            "after {change}: {members}"
+        );
+        let lives = |voter: &&Replica| alive.contains(&voter.host.as_str());
+        let living = members.voters().iter().filter(lives).count();
+        assert!(living >= members.quorum(), "after {change}: {members}");
+    }
+    panic!("the rule does not settle");
+}
+
+#[test_case(&["l1"], &["l1", "l2", "l3", "w1", "w2"], &[], &["l1", "l2", "l3", "w1", "w2"]; "grows")]
+#[test_case(&["l1", "l2", "l3", "w1", "w2"], &["l1", "l2", "w1", "w2"], &["l3"], &["l1", "l2", "w1"]; "a local lost")]
+#[test_case(&["l1", "l2", "w1"], &["l1", "w1"], &["l2"], &["l1"]; "two locals lost")]
+#[test_case(&["l1", "l2", "l3", "w1", "w2"], &["l1", "l2", "l4", "w1", "w2"], &["l3"], &["l1", "l2", "l4", "w1", "w2"]; "a spare local")]
+#[test_case(&["l1", "l2", "l3", "w1", "w2"], &["l1", "l2", "l3", "w1", "w3"], &["w2"], &["l1", "l2", "l3", "w1", "w3"]; "a spare witness")]
+#[test_case(&["l1", "l2", "l3", "w1", "w2"], &["l1", "l2", "l3"], &["w1", "w2"], &["l1", "l2", "l3"]; "cut off with disks")]
+#[test_case(&["l1", "m2", "m3", "w1", "w2"], &["l1", "m2", "m3"], &["w1", "w2"], &["l1", "m2", "m3", "w1", "w2"]; "cut off with one disk")]
+#[test_case(&["l1", "m2", "m3", "w1", "w2"], &["l1", "m2", "m3", "l4", "w1", "w2"], &[], &["l1", "l4", "m2", "w1", "w2"]; "a disk replaces memory")]
+#[test_case(&["l1", "l2", "l3", "w1", "w2"], &["l1", "l2", "l3", "l4", "l5", "w1", "w2"], &[], &["l1", "l2", "l3", "w1", "w2"]; "never more than three locals")]
+fn the_rule_settles(voters: &[&str], alive: &[&str], dead: &[&str], expected: &[&str]) {
+    assert_eq!(settle(voters, alive, dead), expected);
+}
+
+#[test]
+fn a_spare_is_taught_before_it_counts() {
+    let members = Members::new(["l1", "l2", "w1"].map(replica));
+    let mut standings = ["l1", "l2", "l3", "w1", "w2"].map(|name| standing(name, true));
+    standings[2].caught_up = false;
+    let leader = replica("l1");
+    let first = next_change(&members, &leader, &standings).unwrap();
+    assert_eq!(first, Change::AddLearner(replica("l3")));
+    let members = members.with(&first).unwrap();
+    assert_eq!(next_change(&members, &leader, &standings), None);
+    standings[2].caught_up = true;
+    let next = next_change(&members, &leader, &standings).unwrap();
+    assert_eq!(next, Change::Promote(replica("l3")));
+}
+
+#[test]
+fn a_host_that_came_back_replaces_its_old_self() {
+    let old = replica("m2");
+    let new = Replica {
+        incarnation: 2,
+        ..old.clone()
+    };
+    let mut members = Members::new([
+        replica("l1"),
+        old,
+        replica("l3"),
+        replica("w1"),
+        replica("w2"),
+    ]);
+    let mut standings = vec![standing("m2", false)];
+    standings.extend(["l1", "l3", "w1", "w2"].map(|name| standing(name, true)));
+    let mut back = standing("m2", true);
+    back.replica = new.clone();
+    standings.push(back);
+    let leader = replica("l1");
+    while let Some(change) = next_change(&members, &leader, &standings) {
+        members = members.with(&change).unwrap();
+    }
+    assert!(members.is_voter(&new), "{members}");
+    assert_eq!(members.voters().len(), 5);
+}
+
+#[test]
+fn no_quorum_of_witnesses_alone() {
+    for locals in 0..6 {
+        for witnesses in 0..6_usize {
+            let quorum = (locals + witnesses) / 2 + 1;
+            assert_eq!(quorum_holds_local(locals, witnesses), witnesses < quorum);
+        }
+    }
+}
