yucca-load: open-loop load, five measures, three baselines

A load tool whose arrivals come from a seeded trace that states each request's service time, so that every router sees the same requests. The baselines (direct, one queue, hashing) run beside the deployment in one invocation against spare targets. No figures yet: it needs a running deployment. Stand-in targets close connections beyond their limit.

--- a/crates/yucca-dev/src/lib.rs
+++ b/crates/yucca-dev/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod deployment;
 pub mod fleet;
 pub mod journal;
+pub mod load;
 pub mod route;
 pub mod target;
 pub mod work;
--- /dev/null
+++ b/crates/yucca-dev/src/load/experiment/latency.rs
@@ -0,0 +1,80 @@
+//! The latency that entry and lane add, against a direct client in the same run.
+
+use std::sync;
+use std::time;
+
+use super::{Bench, Error};
+use crate::load::drive;
+use crate::load::router;
+use crate::load::table;
+use crate::load::tally;
+use crate::load::trace;
+use crate::work;
+
+/// The load of the deployment, and of the spare targets beside it.
+const LOAD: f64 = 0.5;
+
+/// The rate of requests without work, for both sides together, in requests a second.
+const IDLE_RATE: f64 = 1000.0;
+
+/// Sends arrivals through the deployment and straight to spare targets by turns.
+///
+/// # Errors
+/// Fails where the deployment is not found.
+pub async fn latency(bench: &Bench) -> Result<Vec<table::Table>, Error> {
+    let columns = [
+        "answered",
+        "p50 ms",
+        "p99 ms",
+        "added p50 ms",
+        "added p99 ms",
+    ];
+    let mut summary = table::Table::new("Latency less the target's work", &columns);
+    let load = trace::Load {
+        short: 2.0 * LOAD,
+        long: 0.0,
+    };
+    let half_load = trace::group_streams(bench.keyed()?, load);
+    let idle = half_load.iter().map(without_work).collect();
+    for (label, streams) in [("half load", half_load), ("no work", idle)] {
+        let sides = [router::Kind::Direct, router::Kind::Yuccahill];
+        let tallies = [(); 2].map(|()| sync::Arc::new(tally::Tally::default()));
+        let mut lanes = Vec::new();
+        for (kind, tally) in sides.into_iter().zip(&tallies) {
+            lanes.push(drive::Side {
+                router: bench.router(kind).await?,
+                tally: tally.clone(),
+            });
+        }
+        drive::run(label, trace::Trace::new(bench.plan(streams)), lanes).await;
+        let [direct, ours] = tallies.map(|tally| row(&tally));
+        for (kind, row) in sides.into_iter().zip([&direct, &ours]) {
+            let p50 = row.overhead_ms(0.5);
+            let p99 = row.overhead_ms(0.99);
+            let added = [
+                p50 - direct.overhead_ms(0.5),
+                p99 - direct.overhead_ms(0.99),
+            ];
+            let figures = [row.in_time as f64, p50, p99, added[0], added[1]];
+            summary.push(format!("{label}: {kind}"), &figures);
+        }
+    }
+    Ok(vec![summary])
+}
+
+fn without_work(stream: &trace::Stream) -> trace::Stream {
+    trace::Stream {
+        rate: IDLE_RATE,
+        shape: work::Shape {
+            median: time::Duration::ZERO,
+            sigma: 0.0,
+            longest: time::Duration::ZERO,
+        },
+        ..stream.clone()
+    }
+}
+
+fn row(tally: &tally::Tally) -> tally::Row {
+    let totals = tally.totals();
+    totals.rows.into_values().next().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/yucca-dev/src/load/experiment/mod.rs
@@ -0,0 +1,218 @@
+//! Experiments: each compares the deployment with its baselines in one invocation.
+
+mod blocking;
+mod crest;
+mod imbalance;
+mod latency;
+mod measures;
+mod memory;
+mod throughput;
+
+use std::fmt;
+use std::io;
+use std::net;
+use std::path;
+use std::sync;
+use std::time;
+
+use tokio::time as clock;
+
+use super::client;
+use super::drive;
+use super::place;
+use super::router;
+use super::tally;
+use super::trace;
+use crate::deployment;
+use crate::fleet;
+
+pub use blocking::blocking;
+pub use crest::crest;
+pub use imbalance::imbalance;
+pub use latency::latency;
+pub use measures::measures;
+pub use memory::memory;
+pub use throughput::throughput;
+
+/// The time between two looks at the targets' work.
+const WINDOW: time::Duration = time::Duration::from_secs(1);
+
+/// The number of keys of a keyed service.
+const KEYS: u64 = 100_000;
+
+/// What an experiment runs against, and how.
+#[derive(Debug, Clone)]
+pub struct Bench {
+    /// Where the deployment is.
+    pub ready: place::Ready,
+    /// What it serves.
+    pub deployment: deployment::Deployment,
+    /// The client of all runs.
+    pub client: client::Client,
+    /// How long requests arrive in each run.
+    pub length: time::Duration,
+    /// The exponent of Zipf's law by which keys are used.
+    pub zipf: f64,
+    /// After how long other keys become the hot ones.
+    pub move_every: time::Duration,
+    /// The seed of all runs.
+    pub seed: u64,
+}
+
+/// Why an experiment ends without a result.
+#[derive(Debug)]
+pub enum Error {
+    /// The deployment is not found.
+    Place(place::Error),
+    /// The resident memory of a process cannot be read.
+    Memory {
+        /// The file.
+        file: path::PathBuf,
+        /// The operating system's reason.
+        source: io::Error,
+    },
+    /// The ready line names no entry host.
+    NoEntry,
+    /// The deployment has no service divided by key.
+    NoKeyed,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Place(error) => error.fmt(f),
+            Self::Memory { file, source } => {
+                write!(
+                    f,
+                    "cannot read {}: {source}; give a running --pid",
+                    file.display()
+                )
+            }
+            Self::NoEntry => f.write_str("the ready line names no entry host"),
+            Self::NoKeyed => f.write_str("the deployment has no service divided by key"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl From<place::Error> for Error {
+    fn from(error: place::Error) -> Self {
+        Self::Place(error)
+    }
+}
+
+/// What one run gave.
+#[derive(Debug)]
+pub struct Run {
+    /// What became of its requests.
+    pub totals: tally::Totals,
+    /// The work of the targets that it used, window by window.
+    pub samples: Vec<Vec<fleet::Listed>>,
+    /// How long requests arrived.
+    pub length: time::Duration,
+}
+
+impl Bench {
+    /// Returns the addresses of the entry hosts.
+    ///
+    /// # Errors
+    /// Fails where there is none.
+    pub fn entries(&self) -> Result<Vec<net::SocketAddr>, Error> {
+        let entries = self.ready.entries.iter();
+        let addresses: Vec<_> = entries.map(|entry| entry.callers).collect();
+        if addresses.is_empty() {
+            return Err(Error::NoEntry);
+        }
+        Ok(addresses)
+    }
+
+    /// Returns the targets of the service that is divided by key.
+    ///
+    /// # Errors
+    /// Fails where there is none.
+    pub fn keyed(&self) -> Result<&deployment::Group, Error> {
+        let is_keyed = |group: &&deployment::Group| {
+            matches!(group.rules.kind, yucca_wire::ticket::Kind::Keyed(_))
+        };
+        let mut groups = self.deployment.groups.iter();
+        groups.find(is_keyed).ok_or(Error::NoKeyed)
+    }
+
+    /// Returns a plan of steady demand with these streams.
+    pub fn plan(&self, streams: Vec<trace::Stream>) -> trace::Plan {
+        trace::Plan {
+            streams,
+            swing: None,
+            keys: trace::Keys {
+                count: KEYS,
+                exponent: self.zipf,
+                move_every: self.move_every,
+            },
+            length: self.length,
+            seed: self.seed,
+        }
+    }
+
+    /// Returns the router of a kind.
+    ///
+    /// # Errors
+    /// Fails where the deployment is not found.
+    pub async fn router(&self, kind: router::Kind) -> Result<sync::Arc<dyn router::Router>, Error> {
+        let client = self.client.clone();
+        if kind == router::Kind::Yuccahill {
+            return Ok(sync::Arc::new(router::Entries::new(
+                client,
+                self.entries()?,
+            )));
+        }
+        let targets = self.ready.targets(&self.client).await?;
+        Ok(sync::Arc::new(router::Hashed::new(
+            client,
+            kind,
+            &targets.spare,
+        )))
+    }
+
+    /// Runs a plan over one router.
+    ///
+    /// # Errors
+    /// Fails where the deployment is not found.
+    pub async fn run(&self, kind: router::Kind, plan: trace::Plan) -> Result<Run, Error> {
+        let tally = sync::Arc::new(tally::Tally::default());
+        let side = drive::Side {
+            router: self.router(kind).await?,
+            tally: tally.clone(),
+        };
+        let length = plan.length;
+        let sampler = tokio::spawn(sample(self.clone(), kind, length));
+        drive::run(&kind.to_string(), trace::Trace::new(plan), vec![side]).await;
+        Ok(Run {
+            totals: tally.totals(),
+            samples: sampler.await.unwrap_or_default(),
+            length,
+        })
+    }
+}
+
+/// Looks at the work of the targets once a window, as long as requests arrive.
+async fn sample(
+    bench: Bench,
+    kind: router::Kind,
+    length: time::Duration,
+) -> Vec<Vec<fleet::Listed>> {
+    let end = clock::Instant::now() + length;
+    let mut ticks = clock::interval(WINDOW);
+    let mut samples = Vec::new();
+    while clock::Instant::now() < end {
+        ticks.tick().await;
+        let Ok(targets) = bench.ready.targets(&bench.client).await else {
+            continue;
+        };
+        samples.push(match kind {
+            router::Kind::Yuccahill => targets.served,
+            _ => targets.spare,
+        });
+    }
+    samples
+}
--- /dev/null
+++ b/crates/yucca-dev/src/load/experiment/throughput.rs
@@ -0,0 +1,66 @@
+//! Throughput of one entry host against straight requests, in alternating slices.
+
+use std::sync;
+use std::time;
+
+use super::{Bench, Error};
+use crate::load::drive;
+use crate::load::router;
+use crate::load::table;
+use crate::load::trace;
+use crate::work;
+
+/// How many requests are open at a time.
+const WORKERS: u64 = 64;
+
+/// How many slices each side gets.
+const SLICES: u32 = 5;
+
+/// The virtual rate of the traces, from which workers take requests as fast as they can.
+const RATE: f64 = 1.0;
+
+/// The virtual length of the traces.
+const LENGTH: time::Duration = time::Duration::from_secs(1 << 30);
+
+/// Lets workers send small requests without work, one after the other.
+///
+/// # Errors
+/// Fails where the deployment is not found.
+pub async fn throughput(bench: &Bench) -> Result<Vec<table::Table>, Error> {
+    let load = trace::Load {
+        short: 1.0,
+        long: 0.0,
+    };
+    let mut streams = trace::group_streams(bench.keyed()?, load);
+    for stream in &mut streams {
+        stream.rate = RATE;
+        stream.shape = work::Shape {
+            median: time::Duration::ZERO,
+            sigma: 0.0,
+            longest: time::Duration::ZERO,
+        };
+    }
+    let mut plan = bench.plan(streams);
+    plan.length = LENGTH;
+    plan.keys.move_every = LENGTH;
+    let one = bench.entries()?.into_iter().take(1).collect();
+    let ours: sync::Arc<dyn router::Router> =
+        sync::Arc::new(router::Entries::new(bench.client.clone(), one));
+    let direct = bench.router(router::Kind::Direct).await?;
+    let slice = bench.length / (2 * SLICES);
+    let mut counts = [0; 2];
+    for turn in 0..SLICES {
+        eprint!("\rslice {} of {SLICES}", turn + 1);
+        for (count, router) in counts.iter_mut().zip([&direct, &ours]) {
+            *count += drive::closed(router, &plan, WORKERS, slice).await;
+        }
+    }
+    eprintln!();
+    let seconds = (slice * SLICES).as_secs_f64();
+    let [direct, ours] = counts.map(|count| count as f64 / seconds);
+    let columns = ["requests/s", "over direct"];
+    let mut summary = table::Table::new("Throughput, small bodies, no work", &columns);
+    summary.push("direct", &[direct, 1.0]);
+    summary.push("one entry host", &[ours, ours / direct]);
+    Ok(vec![summary])
+}
--- /dev/null
+++ b/crates/yucca-dev/src/load/place.rs
@@ -0,0 +1,133 @@
+//! Where the deployment under load is: the ready line of `yucca-dev`, and its list of targets.
+
+use std::fmt;
+use std::fs;
+use std::io;
+use std::net;
+use std::path;
+
+use serde::{Deserialize, Serialize};
+use yucca_wire::id;
+
+use super::client;
+use crate::fleet;
+
+/// The line that `yucca-dev` prints when it can serve.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ready {
+    /// Always true.
+    pub ready: bool,
+    /// Where callers reach the entry hosts.
+    pub entries: Vec<Entry>,
+    /// The URL of the operators' interface.
+    pub operator: String,
+    /// The URL of the faults address.
+    pub faults: String,
+}
+
+/// An entry host in the ready line.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Where callers reach it.
+    pub callers: net::SocketAddr,
+}
+
+/// The targets of a deployment, and as many that no lane knows, for the baselines.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Targets {
+    /// The targets that the deployment serves with.
+    pub served: Vec<fleet::Listed>,
+    /// Equal targets that take work from anyone.
+    pub spare: Vec<fleet::Listed>,
+}
+
+/// Why the deployment is not found.
+#[derive(Debug)]
+pub enum Error {
+    /// The file cannot be read.
+    Read {
+        /// The file.
+        file: path::PathBuf,
+        /// The operating system's reason.
+        source: io::Error,
+    },
+    /// The text is not a ready line.
+    Parse {
+        /// The file.
+        file: path::PathBuf,
+        /// What the parser says.
+        reason: String,
+    },
+    /// The URL of the faults address is malformed.
+    Url {
+        /// The rejected text.
+        text: String,
+    },
+    /// The list of targets cannot be fetched.
+    Client(client::Error),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Read { file, source } => write!(
+                f,
+                "cannot read {}: {source}; start yucca-dev with its output in that file",
+                file.display()
+            ),
+            Self::Parse { file, reason } => {
+                write!(f, "{} holds no ready line: {reason}", file.display())
+            }
+            Self::Url { text } => write!(f, "{text:?} is not of the form http://IP:PORT"),
+            Self::Client(error) => error.fmt(f),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+impl Ready {
+    /// Reads the ready line from a file, or from standard input where the file is `-`.
+    ///
+    /// # Errors
+    /// Fails where it cannot be read or is no ready line.
+    pub fn read(file: &path::Path) -> Result<Self, Error> {
+        let text = if file == path::Path::new("-") {
+            let mut line = String::new();
+            io::stdin().read_line(&mut line).map(|_| line)
+        } else {
+            fs::read_to_string(file)
+        };
+        let text = text.map_err(|source| Error::Read {
+            file: file.into(),
+            source,
+        })?;
+        let line = text.lines().next().unwrap_or_default();
+        serde_json::from_str(line).map_err(|error| Error::Parse {
+            file: file.into(),
+            reason: error.to_string(),
+        })
+    }
+
+    /// Returns the address of the faults interface.
+    ///
+    /// # Errors
+    /// Fails where its URL is malformed.
+    pub fn faults_address(&self) -> Result<net::SocketAddr, Error> {
+        let text = self.faults.strip_prefix("http://").unwrap_or_default();
+        text.trim_end_matches('/').parse().map_err(|_| Error::Url {
+            text: self.faults.clone(),
+        })
+    }
+
+    /// Fetches the list of targets.
+    ///
+    /// # Errors
+    /// Fails where the faults address does not answer.
+    pub async fn targets(&self, client: &client::Client) -> Result<Targets, Error> {
+        let address = self.faults_address()?;
+        client.get(address, "/targets").await.map_err(Error::Client)
+    }
+}
--- /dev/null
+++ b/crates/yucca-dev/src/load/router/hashed.rs
@@ -0,0 +1,119 @@
+//! Baselines that send straight to targets, each key always to the same one.
+
+use std::net;
+use std::sync::atomic;
+
+use futures_util::future::BoxFuture;
+use indexmap::IndexMap;
+use rand::Rng;
+use xxhash_rust::xxh3;
+use yucca_wire::id;
+
+use super::queue;
+use super::{Kind, Router};
+use crate::fleet;
+use crate::load::client;
+use crate::load::trace;
+
+/// A client-side router over targets.
+#[derive(Debug)]
+pub struct Hashed {
+    client: client::Client,
+    two_choices: bool,
+    services: IndexMap<id::Service, Vec<Member>>,
+}
+
+#[derive(Debug)]
+struct Member {
+    address: net::SocketAddr,
+    queue: queue::Queue,
+    /// Requests that wait here or are at the target.
+    open: atomic::AtomicUsize,
+}
+
+impl Hashed {
+    /// Returns the baseline of a kind over these targets.
+    pub fn new(client: client::Client, kind: Kind, targets: &[fleet::Listed]) -> Self {
+        let policy = match kind {
+            Kind::OneQueue => queue::Policy::Slot,
+            Kind::Hashing => queue::Policy::Class,
+            Kind::Direct | Kind::Yuccahill => queue::Policy::Connection,
+        };
+        let mut services: IndexMap<id::Service, Vec<Member>> = IndexMap::new();
+        for target in targets {
+            let members = services.entry(target.service.clone()).or_default();
+            members.push(Member {
+                address: target.address,
+                queue: queue::Queue::new(policy),
+                open: atomic::AtomicUsize::new(0),
+            });
+        }
+        Self {
+            client,
+            two_choices: policy != queue::Policy::Connection,
+            services,
+        }
+    }
+
+    fn choose(&self, arrival: &trace::Arrival) -> Option<&Member> {
+        let members = self.services.get(&arrival.service)?;
+        if let Some(key) = arrival.key {
+            let hash = xxh3::xxh3_64(&key.to_le_bytes());
+            return members.get(hash as usize % members.len());
+        }
+        let mut rng = rand::rng();
+        let first = members.get(rng.random_range(0..members.len()))?;
+        if !self.two_choices {
+            return Some(first);
+        }
+        let second = members.get(rng.random_range(0..members.len()))?;
+        Some(if second.open() < first.open() {
+            second
+        } else {
+            first
+        })
+    }
+
+    async fn forward(&self, arrival: &trace::Arrival) -> Result<client::Reply, client::Error> {
+        let Some(member) = self.choose(arrival) else {
+            return Err(client::Error::Answer {
+                address: net::SocketAddr::from(([127, 0, 0, 1], 0)),
+                reason: format!("no target serves {}", arrival.service),
+            });
+        };
+        let _open = Open::new(&member.open);
+        let _held = member.queue.take(arrival.class).await;
+        self.client.send(member.address, arrival).await
+    }
+}
+
+impl Member {
+    fn open(&self) -> usize {
+        self.open.load(atomic::Ordering::Relaxed)
+    }
+}
+
+/// Counts a request until its drop.
+struct Open<'a>(&'a atomic::AtomicUsize);
+
+impl<'a> Open<'a> {
+    fn new(open: &'a atomic::AtomicUsize) -> Self {
+        open.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(open)
+    }
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+impl Router for Hashed {
+    fn send<'a>(
+        &'a self,
+        arrival: &'a trace::Arrival,
+    ) -> BoxFuture<'a, Result<client::Reply, client::Error>> {
+        Box::pin(self.forward(arrival))
+    }
+}
--- a/crates/yucca-dev/src/target/serve.rs
+++ b/crates/yucca-dev/src/target/serve.rs
@@ -22,6 +22,9 @@
                 let Ok((stream, _)) = accepted else {
                     continue;
                 };
+                if connections.len() >= usize::from(shared.settings.connections) {
+                    continue;
+                }
                 let _ = stream.set_nodelay(true);
                 let stream = shared.gate.admit(stream);
                 connections.spawn(serve(shared.clone(), rt::TokioIo::new(stream)));
--- a/crates/yucca-dev/tests/stand_in.rs
+++ b/crates/yucca-dev/tests/stand_in.rs
@@ -253,3 +253,24 @@
     let told: yucca_dev::target::Report = serde_json::from_slice(answer.body()).unwrap();
     assert_eq!(told, report);
 }
+
+#[tokio::test]
+async fn closes_connections_beyond_its_limit() {
+    let mut settings = settings("desk-1", false);
+    settings.connections = 1;
+    let bench = bench(settings).await;
+    let mut first = bench.client().await;
+    let headers = [("x-work-us", "0")];
+    first.send(request("GET", KEY_PATH, &headers)).await;
+    let stream = tokio::net::TcpStream::connect(bench.target.address()).await;
+    let mut byte = [0];
+    let read = tokio::io::AsyncReadExt::read(&mut stream.unwrap(), &mut byte).await;
+    assert_eq!(read.unwrap_or(0), 0);
+    assert_eq!(
+        first
+            .send(request("GET", KEY_PATH, &headers))
+            .await
+            .status(),
+        200
+    );
+}
