--- a/crates/yucca-wire/src/report.rs
+++ b/crates/yucca-wire/src/report.rs
@@ -48,6 +48,9 @@
     pub work: IndexMap<id::Shard, u64>,
     /// The work done for the hottest keys, in slot-microseconds.
     pub hot: IndexMap<Bytes, u64>,
+    /// Whether a lane that was to end sends nothing more to its target.
+    #[serde(default)]
+    pub left: bool,
 }
 
 /// What a lane no longer sends to its target.
@@ -68,6 +71,10 @@
     pub global: Option<Change<table::Global>>,
     /// The domains' parts that are newer.
     pub locals: Vec<Change<table::Local>>,
+    /// The domain's leader heard the report and the host may hold lanes: its lease runs anew from
+    /// when it sent the report.
+    #[serde(default)]
+    pub leased: bool,
 }
 
 /// A change to a part of the table.
