--- a/crates/yucca-entry/src/process/callers.rs
+++ b/crates/yucca-entry/src/process/callers.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::sync::atomic;
 
+use http_body_util::BodyExt;
 use yucca_wire::problem;
 
 use crate::process::shared;
@@ -21,6 +22,12 @@
     }
 }
 
+impl InFlight {
+    fn pass<T>(&self, frame: T) -> T {
+        frame
+    }
+}
+
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.0.in_flight.fetch_sub(1, atomic::Ordering::Relaxed);
@@ -50,6 +57,10 @@
     let service = read.service.clone();
     let stream = body::incoming(incoming, read.body_limit);
     let answer = forward::run(&shared, read, &parts, stream).await;
-    drop(counted);
-    answer.into_response(&service)
+    // The request is in flight until the caller has the last byte of the answer.
+    answer.into_response(&service).map(|stream| {
+        stream
+            .map_frame(move |frame| counted.pass(frame))
+            .boxed_unsync()
+    })
 }
--- a/crates/yucca-entry/src/process/lanes.rs
+++ b/crates/yucca-entry/src/process/lanes.rs
@@ -17,6 +17,7 @@
 
 mod attempt;
 mod grants;
+mod kept;
 pub mod message;
 mod reconcile;
 mod runtime;
@@ -27,6 +28,9 @@
 /// The longest that lanes go without a tick.
 const TICK: Duration = Duration::from_millis(5);
 
+/// How long a stopping host waits for control to give its lanes to other hosts.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(5);
+
 /// The lanes of this host.
 #[derive(Default)]
 pub struct Lanes {
@@ -58,6 +62,16 @@
         self.lock().get(target).cloned()
     }
 
+    /// Forgets a lane, unless another one of the same target replaced it.
+    fn close(&self, runtime: &sync::Arc<runtime::Runtime>) {
+        runtime.grants.close();
+        let mut open = self.lock();
+        let same = open.get(runtime.target());
+        if same.is_some_and(|same| sync::Arc::ptr_eq(same, runtime)) {
+            open.swap_remove(runtime.target());
+        }
+    }
+
     /// Returns all lanes.
     pub fn all(&self) -> Vec<sync::Arc<runtime::Runtime>> {
         self.lock().values().cloned().collect()
@@ -105,6 +119,9 @@
             if runtime.wants_wake(now) {
                 runtime.step(&shared, lane::Input::Tick);
             }
+            if runtime.is_handed_over() && runtime.is_idle() {
+                shared.lanes.close(&runtime);
+            }
         }
     }
 }
@@ -118,14 +135,18 @@
     reports.collect()
 }
 
-/// Waits until no lane holds work and no caller waits.
+/// Waits until all lanes are handed over, or control had its time for it, and then until no lane
+/// holds work and no caller waits.
 pub async fn drained(shared: &sync::Arc<shared::Shared>) {
+    let handover_ends = time::Instant::now() + HANDOVER_LIMIT;
     let mut interval = time::interval(TICK);
     loop {
         interval.tick().await;
+        let lanes = shared.lanes.all();
+        let handed = lanes.is_empty() || time::Instant::now() >= handover_ends;
+        let idle = lanes.iter().all(|lane| lane.is_idle());
         let in_flight = shared.in_flight.load(sync::atomic::Ordering::Relaxed);
-        let held = shared.lanes.all().iter().any(|lane| !lane.is_idle());
-        if in_flight == 0 && !held {
+        if handed && idle && in_flight == 0 {
             return;
         }
     }
--- a/crates/yucca-entry/src/process/lanes/attempt.rs
+++ b/crates/yucca-entry/src/process/lanes/attempt.rs
@@ -72,6 +72,18 @@
         })
     }
 
+    /// Returns the bytes that a whole answer holds; none where its body streams.
+    pub fn kept_bytes(&self) -> Option<usize> {
+        let Content::Whole(bytes) = &self.body else {
+            return None;
+        };
+        let fields = self.headers.iter();
+        let head: usize = fields
+            .map(|field| field.name.len() + field.value.len())
+            .sum();
+        Some(head + bytes.len())
+    }
+
     /// Returns the answer of the lane.
     pub fn into_answer(self, load: head::Load) -> answer::Answer {
         let verdict = head::Verdict::Answered {
--- a/crates/yucca-entry/src/process/lanes/reconcile.rs
+++ b/crates/yucca-entry/src/process/lanes/reconcile.rs
@@ -50,8 +50,7 @@
         let to = next.and_then(|target| target.lane.clone());
         let over = to.is_none() || runtime.is_handed_over();
         if over && runtime.is_idle() {
-            runtime.grants.close();
-            shared.lanes.lock().swap_remove(runtime.target());
+            shared.lanes.close(&runtime);
         } else if let Some(to) = to {
             runtime.hand_over(shared, to);
         }
--- a/crates/yucca-entry/src/process/lanes/runtime.rs
+++ b/crates/yucca-entry/src/process/lanes/runtime.rs
@@ -21,6 +21,7 @@
 use crate::connection::pool;
 use crate::process::lanes::attempt;
 use crate::process::lanes::grants;
+use crate::process::lanes::kept;
 use crate::process::lanes::message;
 use crate::process::shared;
 use crate::request::answer;
@@ -47,6 +48,7 @@
     requests: IndexMap<id::Request, Work>,
     callers: IndexMap<request::Caller, Waiting>,
     next_caller: u64,
+    kept: kept::Answers,
     seen: report::Lane,
 }
 
@@ -107,6 +109,7 @@
                 requests: IndexMap::new(),
                 callers: IndexMap::new(),
                 next_caller: 0,
+                kept: kept::Answers::default(),
                 seen: report::Lane::default(),
             }),
         }
@@ -335,6 +338,7 @@
                 work.answer = ended.received;
             }
         }
+        keep_answer(&mut state, id);
         self.count_work(&mut state, id, ended.took);
         let input = match (ended.finished, ended.result) {
             (false, Ok(status)) => lane::Input::Headed {
@@ -403,8 +407,11 @@
                 }
                 lane::Output::Deliver { id, caller } => self.deliver(state, id, caller, load),
                 lane::Output::Replay { id, caller, kept } => {
-                    let problem = replayed(id, kept);
-                    self.answer(state, id, caller, answer::Answer::refusal(problem, load));
+                    let answer = match state.kept.get(id) {
+                        Some(received) => received.into_answer(load),
+                        None => answer::Answer::refusal(replayed(id, kept), load),
+                    };
+                    self.answer(state, id, caller, answer);
                 }
                 lane::Output::Forward { id, caller, to } => {
                     let detail = format!("the request goes on to {to:?}");
@@ -501,6 +508,22 @@
     }
 }
 
+fn keep_answer(state: &mut State, id: id::Request) {
+    let Some(work) = state.requests.get_mut(&id) else {
+        return;
+    };
+    if work.head.idempotent {
+        return;
+    }
+    let whole = work
+        .answer
+        .as_mut()
+        .filter(|received| received.kept_bytes().is_some());
+    if let Some(received) = whole.and_then(attempt::Received::share) {
+        state.kept.keep(id, received);
+    }
+}
+
 fn abort(state: &mut State, id: id::Request) {
     let work = state.requests.get_mut(&id);
     if let Some(running) = work.and_then(|work| work.running.as_ref()) {
