Home leases, hot keys' pins and moves that even out work

Cause: a service may let its shards move when its domain is cut off; work is uneven. Change: State::renewal and Evidence::renewed keep the home lease, home_leases tells how long each service may be served (report::Update.home_leases_us and lease_us, new); a lapse needs a renewal made when every host of the domain knew the service's present rule, so that a shortened time never ends before the leases that hosts still have. Placement pins hot keys first, then moves shards whose gain in slot-microseconds pays within 30 s.

--- a/crates/yucca-own/src/domain.rs
+++ b/crates/yucca-own/src/domain.rs
@@ -10,6 +10,7 @@
 mod seen;
 
 use std::sync;
+use std::time;
 
 use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
@@ -19,6 +20,7 @@
 use yucca_wire::table;
 
 use crate::global;
+use crate::lease;
 
 pub use command::{Announce, Command, Grant, Pin, Reply, Shift};
 pub use evidence::Evidence;
@@ -136,6 +138,39 @@
         commands
     }
 
+    /// Returns the command by which the domain's leader renews its home lease; when it is done,
+    /// tell `Evidence::renewed` when it was sent.
+    pub fn renewal(&self, evidence: &Evidence) -> global::Command {
+        let up = self.hosts.iter().filter(|(_, host)| host.up);
+        let versions = up.map(|(name, _)| evidence.version_at(name));
+        global::Command::Renew {
+            domain: self.table.domain.clone(),
+            generation: self.generation(),
+            version: versions.min().unwrap_or_default().min(self.global.version),
+        }
+    }
+
+    /// Returns how long each service that moves when cut may still be served here. Services that
+    /// are not named may be served without end.
+    pub fn home_leases(
+        &self,
+        evidence: &Evidence,
+        now: time::Duration,
+    ) -> IndexMap<id::Service, time::Duration> {
+        let services = self.global.services.iter();
+        let leased = services.filter_map(|(name, service)| match service.on_cut {
+            table::Cut::Hold => None,
+            table::Cut::MoveAfter(after) => {
+                let until = evidence
+                    .home_renewed()
+                    .map(|at| at + lease::holder(after.0));
+                let left = until.unwrap_or_default().saturating_sub(now);
+                Some((name.clone(), left))
+            }
+        });
+        leased.collect()
+    }
+
     /// Returns the slots of the serving targets, by service.
     fn capacity(&self) -> IndexMap<id::Service, u32> {
         let mut slots = IndexMap::new();
--- a/crates/yucca-own/src/domain/evidence.rs
+++ b/crates/yucca-own/src/domain/evidence.rs
@@ -18,6 +18,8 @@
 const SHARD_WINDOW: time::Duration = time::Duration::from_secs(10);
 /// The window of the rates of hot keys.
 const KEY_WINDOW: time::Duration = time::Duration::from_secs(3);
+/// How often work is evened out.
+const BALANCE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// The most hot keys of a service whose rates are kept.
 const MAX_KEYS: usize = 1024;
 
@@ -29,6 +31,10 @@
     pub(super) hosts: IndexMap<id::Host, Host>,
     pub(super) targets: IndexMap<id::Target, Target>,
     pub(super) rates: IndexMap<id::Service, Rates>,
+    /// When the last renewal of the home lease was sent that was granted.
+    home_renewed: Option<time::Duration>,
+    /// When work was last due to be evened out.
+    balance_due: time::Duration,
     /// The version of the table that the index below describes.
     indexed: Option<sync::Arc<table::Local>>,
     /// The shards of each target.
@@ -93,6 +99,12 @@
         fading.map_or(0.0, |fading| fading.rate(now, SHARD_WINDOW))
     }
 
+    /// Returns the rate of a key, in slot-microseconds a second.
+    pub fn key(&self, key: &Bytes, now: time::Duration) -> f32 {
+        let fading = self.keys.get(key);
+        fading.map_or(0.0, |fading| fading.rate(now, KEY_WINDOW))
+    }
+
     /// Returns the hot keys and their rates.
     pub fn keys(&self, now: time::Duration) -> impl Iterator<Item = (&Bytes, f32)> {
         let keys = self.keys.iter();
@@ -126,6 +138,8 @@
             hosts: IndexMap::new(),
             targets: IndexMap::new(),
             rates: IndexMap::new(),
+            home_renewed: None,
+            balance_due: now,
             indexed: None,
             owned: IndexMap::new(),
         }
@@ -147,6 +161,9 @@
     /// Takes in what was applied; call it after each application, and before `plan`.
     pub fn observe(&mut self, state: &State, now: time::Duration) {
         self.index(&state.table());
+        if now.saturating_sub(self.balance_due) >= BALANCE_INTERVAL {
+            self.balance_due = now;
+        }
         for (name, host) in &mut self.hosts {
             let gone = state.hosts.get(name).is_none_or(|known| !known.up);
             if host.lapsed && gone {
@@ -184,6 +201,27 @@
         hosts.map(|(name, host)| (name, host.global, &host.locals))
     }
 
+    /// Notes that the renewal of the home lease that was sent at this time was granted.
+    pub fn renewed(&mut self, sent: time::Duration) {
+        self.home_renewed = self.home_renewed.max(Some(sent));
+    }
+
+    /// Returns when the last renewal was sent that was granted.
+    pub(super) fn home_renewed(&self) -> Option<time::Duration> {
+        self.home_renewed
+    }
+
+    /// Returns the global version in force at a host, as far as it was heard.
+    pub(super) fn version_at(&self, host: &id::Host) -> id::Version {
+        let host = self.hosts.get(host);
+        host.map_or(id::Version::default(), |host| host.global)
+    }
+
+    /// Tells whether work is due to be evened out.
+    pub(super) fn is_balance_due(&self, now: time::Duration) -> bool {
+        now.saturating_sub(self.balance_due) < BALANCE_INTERVAL / 10
+    }
+
     /// Returns when this process became leader.
     pub(super) fn since(&self) -> time::Duration {
         self.since
--- a/crates/yucca-own/src/domain/plan.rs
+++ b/crates/yucca-own/src/domain/plan.rs
@@ -5,6 +5,8 @@
 mod lanes;
 mod loads;
 mod moves;
+mod pins;
+mod placement;
 
 use std::time;
 
--- a/crates/yucca-own/src/domain/plan/health.rs
+++ b/crates/yucca-own/src/domain/plan/health.rs
@@ -106,7 +106,7 @@
         let limit = if leaving { FORGET_LEFT } else { FORGET_LOST };
         let lost = target.state == table::State::Lost;
         let silent = now.saturating_sub(last_heard(evidence, name));
-        if (leaving || lost) && silent > limit && !state.owns_any(name) {
+        if (leaving || lost) && silent > limit && evidence.owned(name).next().is_none() {
             commands.push(Command::Forget {
                 target: name.clone(),
                 incarnation: target.incarnation,
--- a/crates/yucca-own/src/domain/plan/moves.rs
+++ b/crates/yucca-own/src/domain/plan/moves.rs
@@ -8,6 +8,7 @@
 use yucca_wire::table;
 
 use super::loads::Loads;
+use super::{pins, placement};
 use crate::domain::{Command, Evidence, Grant, Shift, State};
 
 /// The most shards in one command.
@@ -20,18 +21,23 @@
     commands: &mut Vec<Command>,
 ) {
     releases(state, evidence, commands);
+    pins::plan(state, commands);
     for (service, found) in &state.global.services {
         let table::Kind::Keyed { shards, .. } = found.kind else {
             continue;
         };
         let free = unowned(state, service, shards);
         let draining = draining(state, service, evidence);
-        if free.is_empty() && draining.is_empty() {
+        let at_rest = free.is_empty() && draining.is_empty();
+        if at_rest && !evidence.is_balance_due(now) {
             continue;
         }
         let mut loads = Loads::new(state, service, evidence, now);
         grant(service, &free, &mut loads, commands);
         evacuate(service, draining, &mut loads, commands);
+        if at_rest {
+            placement::plan(state, service, &mut loads, commands);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/yucca-own/src/domain/plan/placement.rs
@@ -0,0 +1,187 @@
+//! Evens out work: pins for hot keys, and moves of shards whose gain exceeds their cost.
+//!
+//! All thresholds are in slot-microseconds, the unit of work, and none in counts of requests.
+
+use bytes::Bytes;
+use indexmap::IndexMap;
+use yucca_wire::id;
+
+use super::loads::{Load, Loads};
+use crate::domain::{Command, Pin, Shift, State};
+
+/// A target this far above the mean load gives work away.
+const HIGH_BAND: f32 = 0.15;
+/// A target this far below the mean load gets work, one shard at a time.
+const LOW_BAND: f32 = 0.4;
+/// The least excess over the mean that is worth a move, in slot-microseconds a second and slot.
+const MIN_EXCESS: f32 = 10_000.0;
+/// What a move costs: work that waits, and what the new owner does anew, in slot-microseconds.
+const MOVE_COST: f32 = 50_000.0;
+/// The time over which a move must pay, in seconds.
+const PAYBACK_SECONDS: f32 = 30.0;
+/// The most shards of a service that move at a time for balance.
+const MAX_MOVING: usize = 8;
+/// The most pins of a service that placement holds.
+const MAX_PINS: usize = 256;
+/// A key is hot from this share of the mean work of a target.
+const HOT: f32 = 0.2;
+/// A pin ends below this share of the mean work of a target.
+const COLD: f32 = 0.04;
+
+/// Plans pins and moves of one service.
+pub(super) fn plan(
+    state: &State,
+    service: &id::Service,
+    loads: &mut Loads<'_>,
+    commands: &mut Vec<Command>,
+) {
+    if loads.targets.len() < 2 {
+        return;
+    }
+    let mut planner = Planner {
+        state,
+        service,
+        loads,
+        shifts: Vec::new(),
+    };
+    planner.pin_hot(commands);
+    planner.unpin_cold(commands);
+    planner.even();
+    let shifts = planner.shifts;
+    if !shifts.is_empty() {
+        commands.push(Command::Move {
+            service: service.clone(),
+            shifts,
+        });
+    }
+}
+
+struct Planner<'a, 'b> {
+    state: &'a State,
+    service: &'a id::Service,
+    loads: &'a mut Loads<'b>,
+    shifts: Vec<Shift>,
+}
+
+impl Planner<'_, '_> {
+    /// Gives hot keys of loaded targets an owner of their own.
+    fn pin_hot(&mut self, commands: &mut Vec<Command>) {
+        let mean_work = self.loads.mean_work();
+        let held = self.state.pins.get(self.service).map_or(0, IndexMap::len);
+        let mut room = MAX_PINS.saturating_sub(held);
+        let mut hot: Vec<(Bytes, f32)> = self.loads.hot(HOT * mean_work);
+        hot.sort_by(|a, b| b.1.total_cmp(&a.1));
+        for (key, work) in hot {
+            if room == 0 {
+                return;
+            }
+            if let Some(pin) = self.pin_for(&key, work) {
+                commands.push(Command::Pin(pin));
+                room -= 1;
+            }
+        }
+    }
+
+    fn pin_for(&mut self, key: &Bytes, work: f32) -> Option<Pin> {
+        let shard = self.state.shard_of(self.service, key)?;
+        let owner = self.state.table.owner(self.service, shard, key)?;
+        let known = self.state.pins.get(self.service).and_then(|p| p.get(key));
+        let operator = known.is_some_and(|known| known.operator);
+        if owner.moving || operator || !self.state.holds(self.service, shard) {
+            return None;
+        }
+        let mean = self.loads.mean();
+        let from = self.loads.get(&owner.target)?.clone();
+        let to = self.loads.least()?.clone();
+        let high = from.relative() - mean;
+        let after = (to.work + work) / to.weight;
+        // The key must not only carry the excess to another target.
+        let improves = after < from.relative() * (1.0 - HIGH_BAND);
+        let pays = work * PAYBACK_SECONDS > MOVE_COST;
+        if high < (HIGH_BAND * mean).max(MIN_EXCESS) || !improves || !pays {
+            return None;
+        }
+        self.loads.shift(&from.target, &to.target, work);
+        Some(Pin {
+            service: self.service.clone(),
+            key: key.clone(),
+            token: owner.token,
+            to: to.target,
+            operator: false,
+        })
+    }
+
+    /// Ends pins whose keys are hot no more.
+    fn unpin_cold(&self, commands: &mut Vec<Command>) {
+        let pins = self.state.table.pins.get(self.service);
+        if !self.loads.is_warm() {
+            return;
+        }
+        let limit = COLD * self.loads.mean_work();
+        for (key, owner) in pins.into_iter().flatten() {
+            let known = self.state.pins.get(self.service).and_then(|p| p.get(key));
+            let operator = known.is_some_and(|known| known.operator);
+            if !operator && !owner.moving && self.loads.key(key) < limit {
+                commands.push(Command::Unpin {
+                    service: self.service.clone(),
+                    key: key.clone(),
+                    token: owner.token,
+                });
+            }
+        }
+    }
+
+    /// Moves shards from the most loaded target to the least loaded one.
+    fn even(&mut self) {
+        let moving = self.state.shifts.get(self.service).map_or(0, IndexMap::len);
+        for _ in moving..MAX_MOVING {
+            let (Some(from), Some(to)) = (self.loads.most(), self.loads.least()) else {
+                return;
+            };
+            let (from, to) = (from.clone(), to.clone());
+            let mean = self.loads.mean();
+            let high = from.relative() - mean > (HIGH_BAND * mean).max(MIN_EXCESS);
+            let low = mean - to.relative() > (LOW_BAND * mean).max(MIN_EXCESS);
+            let first = moving == 0 && self.shifts.is_empty();
+            let worth = high || (low && first);
+            if !worth {
+                return;
+            }
+            let Some((shift, work)) = self.choose(&from, &to) else {
+                return;
+            };
+            self.loads.shift(&from.target, &to.target, work);
+            self.shifts.push(shift);
+        }
+    }
+
+    /// Chooses the shard whose move brings two targets nearest to each other.
+    fn choose(&self, from: &Load, to: &Load) -> Option<(Shift, f32)> {
+        let slots = from.weight + to.weight;
+        let ideal = (from.work * to.weight - to.work * from.weight) / slots;
+        let owned = self.loads.shards(&from.target);
+        let mut best: Option<(id::Shard, f32)> = None;
+        for shard in owned {
+            let work = self.loads.shard(shard);
+            let pays = work * PAYBACK_SECONDS > MOVE_COST;
+            let better = best.is_none_or(|(_, most)| work > most);
+            let chosen = self.shifts.iter().any(|shift| shift.shard == shard);
+            if pays && better && work <= ideal && !chosen && self.is_free(shard) {
+                best = Some((shard, work));
+            }
+        }
+        let (shard, work) = best?;
+        let owner = self.state.owner(self.service, shard)?;
+        let shift = Shift {
+            shard,
+            token: owner.token,
+            to: to.target.clone(),
+        };
+        Some((shift, work))
+    }
+
+    fn is_free(&self, shard: id::Shard) -> bool {
+        let owner = self.state.owner(self.service, shard);
+        owner.is_some_and(|owner| !owner.moving) && self.state.holds(self.service, shard)
+    }
+}
--- a/crates/yucca-own/src/global.rs
+++ b/crates/yucca-own/src/global.rs
@@ -28,12 +28,23 @@
     tickets: Record,
     /// The slots of serving targets, by domain and service.
     capacity: IndexMap<id::Domain, IndexMap<id::Service, u32>>,
-    /// The number of the last renewal of each domain's home lease.
-    renewals: IndexMap<id::Domain, u64>,
+    /// The last renewal of each domain's home lease.
+    renewals: IndexMap<id::Domain, Renewal>,
+    /// The version at which each service's rule for cuts was last set.
+    cut_rules: IndexMap<id::Service, id::Version>,
     /// The highest generation that any domain was given.
     generation: u32,
 }
 
+/// A renewal of a domain's home lease.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+struct Renewal {
+    /// Rises with each renewal.
+    number: u64,
+    /// The global version that was in force at all hosts of the domain.
+    version: id::Version,
+}
+
 impl State {
     /// Returns what every host is told.
     pub fn table(&self) -> sync::Arc<table::Global> {
@@ -64,4 +75,12 @@
             _ => true,
         }
     }
+
+    /// Returns the last renewal under which the shards of a service in a domain may lapse: one
+    /// made when the domain's hosts knew the service's present rule.
+    fn renewal(&self, service: &id::Service, domain: &id::Domain) -> Option<Renewal> {
+        let renewal = self.renewals.get(domain).copied()?;
+        let rule = self.cut_rules.get(service).copied()?;
+        (renewal.version >= rule).then_some(renewal)
+    }
 }
--- a/crates/yucca-own/src/global/apply.rs
+++ b/crates/yucca-own/src/global/apply.rs
@@ -17,7 +17,11 @@
         match command {
             Command::Submit { ticket, sender } => self.submit(version, ticket, sender),
             Command::Capacity { domain, slots } => self.set_capacity(domain, slots),
-            Command::Renew { domain, generation } => self.renew(domain, *generation),
+            Command::Renew {
+                domain,
+                generation,
+                version,
+            } => self.renew(domain, *generation, *version),
             Command::Assign {
                 service,
                 base,
@@ -59,7 +63,7 @@
                 standing: None,
             };
         }
-        self.take(ticket);
+        self.take(version, ticket);
         self.table_mut().version = version;
         self.tickets.insert(ticket, digest, version, sender);
         Reply::Accepted {
@@ -68,10 +72,14 @@
         }
     }
 
-    fn take(&mut self, ticket: &ticket::Checked) {
+    fn take(&mut self, version: id::Version, ticket: &ticket::Checked) {
         for (name, service) in &ticket.services {
             match service {
                 Some(service) => {
+                    let old = self.table.services.get(name);
+                    if old.is_none_or(|old| old.on_cut != service.on_cut) {
+                        self.cut_rules.insert(name.clone(), version);
+                    }
                     let services = &mut self.table_mut().services;
                     services.insert(name.clone(), service.clone());
                 }
@@ -97,6 +105,7 @@
         table.leaving.shift_remove(name);
         table.pins.shift_remove(name);
         table.drains.shift_remove(name);
+        self.cut_rules.shift_remove(name);
         for slots in self.capacity.values_mut() {
             slots.shift_remove(name);
         }
@@ -131,12 +140,14 @@
         Reply::Done
     }
 
-    fn renew(&mut self, domain: &id::Domain, generation: u32) -> Reply {
+    fn renew(&mut self, domain: &id::Domain, generation: u32, version: id::Version) -> Reply {
         let known = self.table.domains.get(domain);
         if known.is_none_or(|known| known.lost || known.generation != generation) {
             return Reply::Stale;
         }
-        *self.renewals.entry(domain.clone()).or_insert(0) += 1;
+        let renewal = self.renewals.entry(domain.clone()).or_default();
+        renewal.number += 1;
+        renewal.version = version;
         Reply::Done
     }
 
@@ -187,9 +198,9 @@
         let lapsed = match cause {
             Cause::Unowned => None,
             Cause::Lapsed { domain, renewal } => {
-                let last = self.renewals.get(domain).copied().unwrap_or(0);
+                let last = self.renewal(service, domain);
                 let allowed = matches!(found.on_cut, table::Cut::MoveAfter(_));
-                if !allowed || last != *renewal {
+                if !allowed || last.is_none_or(|last| last.number != *renewal) {
                     return false;
                 }
                 Some(domain)
--- a/crates/yucca-own/src/global/command.rs
+++ b/crates/yucca-own/src/global/command.rs
@@ -33,6 +33,8 @@
         /// The generation that the domain knows of itself; another one means that it has not
         /// seen what became of its shards.
         generation: u32,
+        /// The newest global version that is in force at all its hosts.
+        version: id::Version,
     },
     /// The homes of a service's shards change without the word of the homes before.
     Assign {
--- a/crates/yucca-own/src/global/evidence.rs
+++ b/crates/yucca-own/src/global/evidence.rs
@@ -41,11 +41,11 @@
 
     /// Notes the renewals of home leases that were applied; call it after each application.
     pub fn observe(&mut self, state: &State, now: time::Duration) {
-        for (domain, number) in &state.renewals {
+        for (domain, renewal) in &state.renewals {
             let known = self.renewals.get(domain);
-            if known.is_none_or(|known| known.number != *number) {
+            if known.is_none_or(|known| known.number != renewal.number) {
                 let renewal = Renewal {
-                    number: *number,
+                    number: renewal.number,
                     seen: now,
                 };
                 self.renewals.insert(domain.clone(), renewal);
--- a/crates/yucca-own/src/global/plan.rs
+++ b/crates/yucca-own/src/global/plan.rs
@@ -73,11 +73,12 @@
         };
         let homes = self.table.homes.get(service)?;
         let holders = homes.runs().iter().map(|run| &run.domain);
-        let renewal = |domain: &id::Domain| self.renewals.get(domain).copied().unwrap_or(0);
-        let lapsed = |domain: &&id::Domain| {
-            evidence.age(domain, renewal(domain), now) > lease::grantor(after.0)
+        let lapsed = |domain: &id::Domain| {
+            let number = self.renewal(service, domain)?.number;
+            let age = evidence.age(domain, number, now);
+            (age > lease::grantor(after.0)).then(|| (domain.clone(), number))
         };
-        let domain = holders.clone().find(lapsed)?.clone();
+        let (domain, renewal) = holders.clone().find_map(lapsed)?;
         let silent = |other: &id::Domain| {
             let lost = self.table.domains.get(other).is_none_or(|other| other.lost);
             *other == domain || lost || evidence.silence(other, now) > SILENT
@@ -88,10 +89,7 @@
             service: service.clone(),
             base: self.table.version,
             homes,
-            cause: Cause::Lapsed {
-                renewal: renewal(&domain),
-                domain,
-            },
+            cause: Cause::Lapsed { domain, renewal },
         })
     }
 
--- a/crates/yucca-own/tests/common/mod.rs
+++ b/crates/yucca-own/tests/common/mod.rs
@@ -167,17 +167,22 @@
             if !zone.connected {
                 continue;
             }
-            let mut upward = zone.state.upward();
-            upward.push(global::Command::Renew {
-                domain: domain.clone(),
-                generation: zone.state.generation(),
-            });
+            let upward = zone.state.upward();
+            let renews = now.as_millis().is_multiple_of(1000);
             self.evidence.hear(&domain, now);
             for command in upward {
                 if self.global.needs(&command) {
                     self.propose(command);
                 }
             }
+            if renews {
+                let renewal = self.zones[&domain]
+                    .state
+                    .renewal(&self.zones[&domain].evidence);
+                if self.propose(renewal) == global::Reply::Done {
+                    self.zones[&domain].evidence.renewed(now);
+                }
+            }
         }
         self.check();
     }
--- a/crates/yucca-wire/src/report.rs
+++ b/crates/yucca-wire/src/report.rs
@@ -71,6 +71,15 @@
     pub global: Option<Change<table::Global>>,
     /// The domains' parts that are newer.
     pub locals: Vec<Change<table::Local>>,
+    /// How long after it sent the report the host's lanes may send, in microseconds; where absent
+    /// the lease that the host has is not renewed.
+    #[serde(default)]
+    pub lease_us: Option<u64>,
+    /// How long after it sent the report the host may serve the shards of each service that moves
+    /// when its domain is cut off, in microseconds; it replaces what was told before. Services
+    /// that are not named may be served without end.
+    #[serde(default)]
+    pub home_leases_us: IndexMap<id::Service, u64>,
     /// The domain's leader heard the report and the host may hold lanes: its lease runs anew from
     /// when it sent the report.
     #[serde(default)]
