--- a/crates/yucca-entry/src/version/current.rs
+++ b/crates/yucca-entry/src/version/current.rs
@@ -87,7 +87,7 @@
 }
 
 /// The versions of a table's parts.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Versions {
     /// The global part's.
     pub global: id::Version,
--- a/crates/yucca-entry/src/version/sync.rs
+++ b/crates/yucca-entry/src/version/sync.rs
@@ -7,13 +7,16 @@
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use tokio::time;
+use yucca_own::delta;
 use yucca_own::lease;
 use yucca_wire::codec;
 use yucca_wire::report;
+use yucca_wire::table;
 
 use crate::process::lanes;
 use crate::process::shared;
 use crate::request::body;
+use crate::version::current;
 
 /// How long a report may wait for its answer beyond the time that control holds it back.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
@@ -24,6 +27,7 @@
 /// Reports to control until the process stops.
 pub async fn run(shared: sync::Arc<shared::Shared>, incarnation: u64) {
     let mut turn = 0;
+    let mut standing = Standing::Newer;
     while shared.phase() != shared::Phase::Stopped {
         let addresses = &shared.settings.control;
         let Some(address) = addresses.get(turn % addresses.len().max(1)) else {
@@ -34,10 +38,10 @@
         let exchanged = tokio::select! {
             // What is urgent goes out in a new report; control has already heard this one.
             () = shared.announced.urgent.notified() => continue,
-            exchanged = exchange(&shared, *address, incarnation) => exchanged,
+            exchanged = exchange(&shared, *address, incarnation, standing) => exchanged,
         };
         match exchanged {
-            Ok(update) => take_in(&shared, update, sent),
+            Ok(update) => standing = take_in(&shared, update, sent),
             Err(reason) => {
                 metrics::counter!("yucca_reports_failed_total").increment(1);
                 log::debug!("report to {address} failed: {reason}");
@@ -52,8 +56,9 @@
     shared: &sync::Arc<shared::Shared>,
     address: net::SocketAddr,
     incarnation: u64,
+    standing: Standing,
 ) -> Result<report::Update, String> {
-    let report = compose(shared, incarnation);
+    let report = compose(shared, incarnation, standing);
     let message = codec::encode(shared.deployment, &report).map_err(|error| error.to_string())?;
     let posted = shared
         .peers
@@ -74,8 +79,15 @@
     codec::decode(shared.deployment, &bytes).map_err(|error| error.to_string())
 }
 
-fn compose(shared: &sync::Arc<shared::Shared>, incarnation: u64) -> report::Report {
-    let versions = shared.current.versions();
+fn compose(
+    shared: &sync::Arc<shared::Shared>,
+    incarnation: u64,
+    standing: Standing,
+) -> report::Report {
+    let versions = match standing {
+        Standing::Newer => shared.current.versions(),
+        Standing::Whole => current::Versions::default(),
+    };
     report::Report {
         host: shared.settings.host.clone(),
         incarnation,
@@ -87,24 +99,50 @@
     }
 }
 
-fn take_in(shared: &sync::Arc<shared::Shared>, update: report::Update, sent: Duration) {
+/// Parts of a table that an update brought.
+type Parts = (
+    Option<sync::Arc<table::Global>>,
+    Vec<sync::Arc<table::Local>>,
+);
+
+fn apply(held: &table::Table, update: report::Update) -> Result<Parts, delta::Error> {
+    let global = match update.global {
+        Some(change) => Some(sync::Arc::new(delta::apply(Some(&*held.global), change)?)),
+        None => None,
+    };
+    let mut locals = Vec::with_capacity(update.locals.len());
+    for change in update.locals {
+        let domain = match &change {
+            report::Change::Snapshot(local) => &local.domain,
+            report::Change::Delta { changed, .. } => &changed.domain,
+        };
+        let known = held.locals.get(domain);
+        let local = delta::apply(known.map(|known| &**known), change)?;
+        locals.push(sync::Arc::new(local));
+    }
+    Ok((global, locals))
+}
+
+/// What the next report asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// What is newer than what is in force here.
+    Newer,
+    /// Everything, because a delta did not fit.
+    Whole,
+}
+
+fn take_in(shared: &sync::Arc<shared::Shared>, update: report::Update, sent: Duration) -> Standing {
     if update.leased {
         // Counted from when the report was sent: control heard it later, so its own count ends
         // later.
         lanes::renew(shared, sent + lease::holder(lease::HOST));
     }
     let earlier = shared.current.load();
-    let global = update.global.and_then(|change| match change {
-        report::Change::Snapshot(global) => Some(sync::Arc::new(global)),
-        report::Change::Delta { .. } => None,
-    });
-    let mut locals = Vec::new();
-    for change in update.locals {
-        match change {
-            report::Change::Snapshot(local) => locals.push(sync::Arc::new(local)),
-            report::Change::Delta { .. } => {}
-        }
-    }
+    let Ok((global, locals)) = apply(&earlier.table, update) else {
+        metrics::counter!("yucca_deltas_refused_total").increment(1);
+        return Standing::Whole;
+    };
     if shared.current.advance(global, locals) {
         lanes::reconcile(shared, &earlier.table);
     }
@@ -120,4 +158,5 @@
             current.table.global.version
         );
     }
+    Standing::Newer
 }
