Log: one append at a time until the logs agree

Change: after a refusal the leader probes with one append; a refusal that is stale is ignored. A test lets a member's records go back and counts messages.

--- a/crates/yucca-log/src/message.rs
+++ b/crates/yucca-log/src/message.rs
@@ -102,8 +102,17 @@
     pub round: u64,
     /// The version up to which the sender's synced log is the leader's.
     pub matched: id::Version,
-    /// Where the entries did not fit: the version from which to try again.
-    pub missing_after: Option<id::Version>,
+    /// Set where the entries did not fit.
+    pub misfit: Option<Misfit>,
+}
+
+/// Why entries did not fit a log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Misfit {
+    /// The version before the entries, which the sender of this lacks or holds in another term.
+    pub previous: id::Version,
+    /// The version after which to try again.
+    pub retry_after: id::Version,
 }
 
 /// A chunk of a snapshot.
--- a/crates/yucca-log/src/node/follower.rs
+++ b/crates/yucca-log/src/node/follower.rs
@@ -17,7 +17,11 @@
         round: u64,
     ) -> bool {
         if term < self.term {
-            self.reject(sender, round, self.commit);
+            let nothing = message::Misfit {
+                previous: id::Version(0),
+                retry_after: self.commit,
+            };
+            self.reject(sender, round, nothing);
             return false;
         }
         self.follow(term, Some(sender.clone()));
@@ -33,8 +37,8 @@
         if !self.obey(&sender, term, append.round) {
             return;
         }
-        if let Some(missing_after) = self.misfit(append.previous) {
-            self.reject(&sender, append.round, missing_after);
+        if let Some(misfit) = self.misfit(append.previous) {
+            self.reject(&sender, append.round, misfit);
             return;
         }
         let count = append.entries.len() as u64;
@@ -67,18 +71,26 @@
         &mut self,
         sender: &membership::Replica,
         round: u64,
-        missing_after: id::Version,
+        misfit: message::Misfit,
     ) {
         let reply = message::AppendReply {
             round,
             matched: id::Version(0),
-            missing_after: Some(missing_after),
+            misfit: Some(misfit),
         };
         self.send_free(sender, message::Body::AppendReply(reply));
     }
 
-    /// Returns from where the leader should try again, if its entries do not fit.
-    fn misfit(&self, previous: entry::Position) -> Option<id::Version> {
+    /// Returns what does not fit after a position, if anything.
+    fn misfit(&self, previous: entry::Position) -> Option<message::Misfit> {
+        let retry_after = self.retry_after(previous)?;
+        Some(message::Misfit {
+            previous: previous.version,
+            retry_after,
+        })
+    }
+
+    fn retry_after(&self, previous: entry::Position) -> Option<id::Version> {
         let version = previous.version;
         let last = self.log.last().version;
         if version > last {
@@ -131,6 +143,6 @@
     message::Body::AppendReply(message::AppendReply {
         round,
         matched,
-        missing_after: None,
+        misfit: None,
     })
 }
--- a/crates/yucca-log/src/node/replicate.rs
+++ b/crates/yucca-log/src/node/replicate.rs
@@ -95,7 +95,7 @@
         let Some(progress) = self.progress(replica) else {
             return Plan::Nothing;
         };
-        if progress.sending.is_some() || progress.inflight >= progress::WINDOW {
+        if progress.sending.is_some() || !progress.has_room() {
             return Plan::Nothing;
         }
         let (next, previous) = (progress.next, progress.previous());
@@ -115,8 +115,7 @@
         let commit = self.commit;
         let count = append.entries.len() as u64;
         if let Some(progress) = self.progress(replica) {
-            progress.next = id::Version(progress.next.0 + count);
-            progress.inflight += u32::from(count > 0);
+            progress.sent(count);
             progress.commit_sent = commit;
         }
         self.send_free(replica, message::Body::Append(append));
@@ -160,8 +159,8 @@
             return;
         }
         if let Some(progress) = self.progress(sender) {
-            match reply.missing_after {
-                Some(missing_after) => progress.reject(missing_after),
+            match reply.misfit {
+                Some(misfit) => progress.reject(misfit),
                 None => progress.accept(reply.matched),
             }
         }
--- a/crates/yucca-log/src/progress.rs
+++ b/crates/yucca-log/src/progress.rs
@@ -5,9 +5,10 @@
 use yucca_wire::id;
 
 use crate::entry;
+use crate::message;
 
 /// The most appends sent to a member and not answered.
-pub(crate) const WINDOW: u32 = 4;
+const WINDOW: u32 = 4;
 
 /// How far a member's log is known to agree with the leader's.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -24,6 +25,8 @@
     pub heard: Duration,
     /// Whether it answered at all in this term.
     pub answered: bool,
+    /// Whether it is not known where the logs agree; one append at a time finds out.
+    pub probing: bool,
     /// Appends sent and not answered.
     pub inflight: u32,
     /// The snapshot being sent.
@@ -49,6 +52,7 @@
             round: 0,
             heard: now,
             answered: false,
+            probing: false,
             inflight: 0,
             sending: None,
         }
@@ -62,6 +66,7 @@
         self.matched = self.matched.max(matched);
         self.next = self.next.max(entry::after(matched));
         self.inflight = self.inflight.saturating_sub(1);
+        self.probing = false;
         if self.matched == self.previous() {
             self.inflight = 0;
         }
@@ -71,8 +76,30 @@
         }
     }
 
-    pub fn reject(&mut self, missing_after: id::Version) {
-        self.next = entry::after(missing_after.max(self.matched));
+    pub fn reject(&mut self, misfit: message::Misfit) {
+        let stale = misfit.previous <= self.matched;
+        let answered = self.probing && misfit.previous != self.previous();
+        if stale || answered {
+            return;
+        }
+        self.probing = true;
+        self.next = entry::after(misfit.retry_after.max(self.matched));
         self.inflight = 0;
     }
+
+    /// Notes that so many entries were sent.
+    pub fn sent(&mut self, count: u64) {
+        if count == 0 {
+            return;
+        }
+        self.inflight += 1;
+        if !self.probing {
+            self.next = id::Version(self.next.0 + count);
+        }
+    }
+
+    pub fn has_room(&self) -> bool {
+        let window = if self.probing { 1 } else { WINDOW };
+        self.inflight < window
+    }
 }
--- a/crates/yucca-log/tests/network_cuts.rs
+++ b/crates/yucca-log/tests/network_cuts.rs
@@ -150,3 +150,20 @@
     let refused = net.read(&follower);
     assert!(net.reads[&refused].is_err());
 }
+
+#[test]
+fn a_member_whose_records_went_back_causes_no_storm() {
+    let mut net = Net::new(&["a", "b", "c"], 11);
+    for number in 0..20 {
+        net.commit(&format!("{number}"));
+    }
+    let broken = net.followers()[0].clone();
+    net.crash(&broken);
+    net.slots[&broken].image.entries.truncate(5);
+    net.start(&broken);
+    let before = net.sent;
+    net.run(millis(2_000));
+    let sent = net.sent - before;
+    assert!(sent < 400, "{sent} messages in 2 s");
+    net.commit("the others go on");
+}
