Entry: a setting for the address from which peers are dialled

Cause: a host with several addresses, and a test that has to tell the domains of callers apart, need outgoing connections to come from a stated address. Change: the optional setting local; Peers::from_local; the dial of targets is unchanged.

--- a/crates/yucca-entry/src/connection/peers.rs
+++ b/crates/yucca-entry/src/connection/peers.rs
@@ -93,6 +93,7 @@
 /// Connections to peers, opened at need.
 pub struct Peers {
     secret: auth::Secret,
+    local: Option<net::IpAddr>,
     // A leaf in the lock order.
     open: sync::Mutex<IndexMap<net::SocketAddr, Vec<Sender>>>,
     next: sync::atomic::AtomicUsize,
@@ -103,11 +104,18 @@
     pub fn new(secret: auth::Secret) -> Self {
         Self {
             secret,
+            local: None,
             open: sync::Mutex::default(),
             next: sync::atomic::AtomicUsize::new(0),
         }
     }
 
+    /// Opens connections from this local IP address, where one is given.
+    #[must_use]
+    pub fn from_local(self, local: Option<net::IpAddr>) -> Self {
+        Self { local, ..self }
+    }
+
     /// Sends a `POST` request and returns the response.
     ///
     /// # Errors
@@ -144,7 +152,7 @@
         if let Some(sender) = self.take_open(address) {
             return Ok(sender);
         }
-        let sender = open(address).await?;
+        let sender = open(self.local, address).await?;
         self.lock().entry(address).or_default().push(sender.clone());
         Ok(sender)
     }
@@ -170,8 +178,8 @@
     built.unwrap_or_default()
 }
 
-async fn open(address: net::SocketAddr) -> Result<Sender, Error> {
-    let dialled = socket::dial(address).await;
+async fn open(local: Option<net::IpAddr>, address: net::SocketAddr) -> Result<Sender, Error> {
+    let dialled = socket::dial_from(local, address).await;
     let stream = dialled.map_err(|source| Error::Dial { address, source })?;
     let handshake = http2::Builder::new(rt::TokioExecutor::new())
         .timer(rt::TokioTimer::new())
--- a/crates/yucca-entry/src/process/shared.rs
+++ b/crates/yucca-entry/src/process/shared.rs
@@ -59,7 +59,7 @@
         Self {
             deployment: codec::Deployment::new(&settings.deployment),
             current: current::Current::default(),
-            peers: peers::Peers::new(settings.peer_secret.clone()),
+            peers: peers::Peers::new(settings.peer_secret.clone()).from_local(settings.local),
             loads: choose::Loads::default(),
             lanes: lanes::Lanes::default(),
             announced: announce::Announced::default(),
--- a/crates/yucca-entry/src/settings.rs
+++ b/crates/yucca-entry/src/settings.rs
@@ -24,6 +24,9 @@
         pub balancer: net::SocketAddr,
         /// Where targets announce themselves.
         pub announce: net::SocketAddr,
+        /// The IP address from which connections to peers are opened; the system chooses one
+        /// where it is absent.
+        pub local: Option<net::IpAddr>,
         /// The control processes of this domain, the one of this host first.
         pub control: Vec<net::SocketAddr>,
         /// The secret of peers and control processes.
@@ -53,6 +56,7 @@
             peer: any,
             balancer: any,
             announce: any,
+            local: None,
             control: Vec::new(),
             peer_secret: auth::Secret::new("peer"),
             announce_secret: auth::Secret::new("announce"),
