A whole deployment in one process, its faults address and cuts

Forwarders before the peer listeners tell the domain of a caller by its source address and hold connections up while two domains are cut off. The faults address lists hosts, targets and runs, and takes faults as JSON.

--- /dev/null
+++ b/crates/yucca-dev/src/cluster/mod.rs
@@ -0,0 +1,331 @@
+//! A whole deployment in one process: entry hosts, control and stand-in targets, on loopback.
+
+pub mod fault;
+pub mod faults;
+mod host;
+pub mod relay;
+
+use std::fmt;
+use std::net;
+use std::sync;
+use std::time;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+use tokio::sync::Mutex;
+use yucca_wire::auth;
+use yucca_wire::id;
+use yucca_wire::ticket;
+
+use crate::deployment;
+use crate::fleet;
+use crate::journal;
+use crate::load::place;
+use crate::target;
+
+/// The secret of targets that announce themselves.
+const ANNOUNCE_SECRET: &str = "a stand-in secret of targets";
+
+/// How a deployment starts.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// What it serves.
+    pub deployment: deployment::Deployment,
+    /// The first of its ports; none takes free ones.
+    pub port: Option<u16>,
+    /// How long targets take from a cold start to their full rate.
+    pub warmup: time::Duration,
+    /// The seed of the targets' service times.
+    pub seed: u64,
+    /// A control process elsewhere, to which all hosts report; none starts one on each host.
+    pub control: Option<net::SocketAddr>,
+}
+
+/// Why a deployment does not start or a fault cannot be carried out.
+#[derive(Debug)]
+pub enum Error {
+    /// The deployment is malformed.
+    Deployment(deployment::Error),
+    /// An entry process does not start.
+    Entry(yucca_entry::process::Error),
+    /// The targets do not start.
+    Fleet(fleet::Error),
+    /// A listener of the deployment's own does not start.
+    Listen {
+        /// The address.
+        address: net::SocketAddr,
+        /// The operating system's reason.
+        source: std::io::Error,
+    },
+    /// A fault names something that is not there.
+    Unknown {
+        /// What it is: a target, host or domain.
+        what: &'static str,
+        /// The name.
+        name: String,
+    },
+    /// A host's process is already in the wanted state.
+    State {
+        /// The host.
+        host: id::Host,
+        /// The state.
+        state: &'static str,
+    },
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Deployment(error) => error.fmt(f),
+            Self::Entry(error) => error.fmt(f),
+            Self::Fleet(error) => error.fmt(f),
+            Self::Listen { address, source } => {
+                write!(
+                    f,
+                    "cannot listen on {address}: {source}; use another --port"
+                )
+            }
+            Self::Unknown { what, name } => write!(
+                f,
+                "there is no {what} {name:?}; GET /targets and GET /hosts list what there is"
+            ),
+            Self::State { host, state } => write!(f, "the process of host {host} is {state}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// A host in the list at the faults address.
+#[derive(Debug, Clone, Serialize)]
+pub struct Listed {
+    /// Its name.
+    pub host: id::Host,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Where callers reach it.
+    pub callers: net::SocketAddr,
+    /// Where other entry hosts reach it.
+    pub peer: net::SocketAddr,
+    /// Where the platform's balancer reaches it.
+    pub balancer: net::SocketAddr,
+    /// Where targets announce themselves.
+    pub announce: net::SocketAddr,
+    /// Whether its entry process runs.
+    pub entry: bool,
+}
+
+/// A running deployment.
+pub struct Cluster {
+    deployment: deployment::Deployment,
+    hosts: Mutex<IndexMap<id::Host, host::Host>>,
+    served: sync::Mutex<fleet::Fleet>,
+    spare: fleet::Fleet,
+    cuts: sync::Arc<relay::Cuts>,
+}
+
+impl Cluster {
+    /// Starts all hosts and targets of a deployment.
+    ///
+    /// # Errors
+    /// Fails where the deployment is malformed or an address cannot be bound.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
+        let deployment = &settings.deployment;
+        let cuts = sync::Arc::new(relay::Cuts::default());
+        let plans = host::plan(deployment, settings.port)?;
+        let mut hosts = IndexMap::new();
+        for plan in plans {
+            let name = plan.name.clone();
+            let host = host::Host::bind(plan, settings.control, cuts.clone()).await?;
+            hosts.insert(name, host);
+        }
+        for host in hosts.values_mut() {
+            host.start_bound();
+        }
+        let fleet = fleet::Settings {
+            ip: net::Ipv4Addr::LOCALHOST.into(),
+            warmup: settings.warmup,
+            seed: settings.seed,
+            announce: announce_hosts(&hosts),
+            secret: auth::Secret::new(ANNOUNCE_SECRET),
+        };
+        let spare = fleet::Settings {
+            announce: IndexMap::new(),
+            ..fleet.clone()
+        };
+        let served = fleet::Fleet::start(deployment, &fleet).await;
+        let spare = fleet::Fleet::start(deployment, &spare).await;
+        Ok(Self {
+            served: sync::Mutex::new(served.map_err(Error::Fleet)?),
+            spare: spare.map_err(Error::Fleet)?,
+            hosts: Mutex::new(hosts),
+            cuts,
+            deployment: settings.deployment,
+        })
+    }
+
+    /// Returns the sample ticket with the addresses of these hosts.
+    pub async fn ticket(&self) -> ticket::Ticket {
+        let hosts = self.hosts.lock().await;
+        let mut ticket = self.deployment.ticket.clone();
+        for (name, host) in hosts.iter() {
+            let domain = ticket.domains.get_mut(host.domain.as_str());
+            let stated = domain.and_then(|domain| domain.hosts.get_mut(name.as_str()));
+            if let Some(stated) = stated {
+                stated.peer = host.peer().to_string();
+            }
+        }
+        ticket
+    }
+
+    /// Returns where callers reach the entry hosts.
+    pub async fn entries(&self) -> Vec<place::Entry> {
+        let hosts = self.hosts.lock().await;
+        let entries = hosts.values().map(|host| place::Entry {
+            domain: host.domain.clone(),
+            callers: host.settings.callers,
+        });
+        entries.collect()
+    }
+
+    /// Returns all hosts and whether their processes run.
+    pub async fn host_list(&self) -> Vec<Listed> {
+        let hosts = self.hosts.lock().await;
+        let list = hosts.iter().map(|(name, host)| Listed {
+            host: name.clone(),
+            domain: host.domain.clone(),
+            callers: host.settings.callers,
+            peer: host.peer(),
+            balancer: host.settings.balancer,
+            announce: host.settings.announce,
+            entry: host.entry.is_some(),
+        });
+        list.collect()
+    }
+
+    /// Waits until every entry host that runs has taken in a version.
+    pub async fn ready(&self) {
+        let hosts = self.hosts.lock().await;
+        for process in hosts.values().filter_map(|host| host.entry.as_ref()) {
+            process.ready().await;
+        }
+    }
+
+    /// Returns the targets, and the spare ones that no lane knows.
+    pub fn targets(&self) -> place::Targets {
+        place::Targets {
+            served: self.served().list(),
+            spare: self.spare.list(),
+        }
+    }
+
+    /// Returns the record of the served targets' runs.
+    pub fn journal(&self) -> sync::Arc<journal::Journal> {
+        self.served().journal.clone()
+    }
+
+    /// Brings a fault about, or ends it.
+    ///
+    /// # Errors
+    /// Fails where it names something that is not there.
+    pub async fn inflict(&self, fault: fault::Fault) -> Result<(), Error> {
+        use fault::Fault;
+        match fault {
+            Fault::Freeze { target } => self.with_target(&target, target::Target::freeze),
+            Fault::Thaw { target } => self.with_target(&target, target::Target::thaw),
+            Fault::Silence { target } => self.with_target(&target, target::Target::silence),
+            Fault::Restart { target } => self.with_target(&target, target::Target::restart),
+            Fault::Announce { target, state } => {
+                self.with_target(&target, |target| target.set_state(state))
+            }
+            Fault::Mislead { target, report } => {
+                self.with_target(&target, |target| target.mislead(report))
+            }
+            Fault::Lose { target } => {
+                let lost = self.served().lose(&target);
+                lost.then_some(()).ok_or_else(|| unknown("target", &target))
+            }
+            Fault::StopEntry { host } => self.with_host(&host, host::Host::abort).await,
+            Fault::StartEntry { host } => self.start_entry(&host).await,
+            Fault::DrainEntry { host } => self.drain_entry(&host).await,
+            Fault::Cut { one, other } => {
+                self.cuts.cut(self.pair(&one, &other)?);
+                Ok(())
+            }
+            Fault::Heal { one, other } => {
+                self.cuts.heal(self.pair(&one, &other)?);
+                Ok(())
+            }
+        }
+    }
+
+    fn served(&self) -> sync::MutexGuard<'_, fleet::Fleet> {
+        self.served
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn with_target(
+        &self,
+        name: &id::Target,
+        act: impl FnOnce(&target::Target),
+    ) -> Result<(), Error> {
+        let served = self.served();
+        let target = served.get(name).ok_or_else(|| unknown("target", name))?;
+        act(target);
+        Ok(())
+    }
+
+    async fn with_host(
+        &self,
+        name: &id::Host,
+        act: impl FnOnce(&mut host::Host) -> Result<(), Error>,
+    ) -> Result<(), Error> {
+        let mut hosts = self.hosts.lock().await;
+        let host = hosts.get_mut(name).ok_or_else(|| unknown("host", name))?;
+        act(host)
+    }
+
+    async fn start_entry(&self, name: &id::Host) -> Result<(), Error> {
+        let mut hosts = self.hosts.lock().await;
+        let host = hosts.get_mut(name).ok_or_else(|| unknown("host", name))?;
+        host.restart().await
+    }
+
+    async fn drain_entry(&self, name: &id::Host) -> Result<(), Error> {
+        let mut hosts = self.hosts.lock().await;
+        let host = hosts.get_mut(name).ok_or_else(|| unknown("host", name))?;
+        let process = host.take()?;
+        drop(hosts);
+        process.stop().await;
+        Ok(())
+    }
+
+    fn pair(&self, one: &id::Domain, other: &id::Domain) -> Result<relay::Pair, Error> {
+        Ok(relay::Pair::new(self.number(one)?, self.number(other)?))
+    }
+
+    fn number(&self, domain: &id::Domain) -> Result<relay::Domain, Error> {
+        let index = self.deployment.ticket.domains.get_index_of(domain.as_str());
+        let index = index.ok_or_else(|| unknown("domain", domain))?;
+        Ok(relay::Domain::numbered(index))
+    }
+}
+
+fn unknown(what: &'static str, name: &impl fmt::Display) -> Error {
+    Error::Unknown {
+        what,
+        name: name.to_string(),
+    }
+}
+
+fn announce_hosts(
+    hosts: &IndexMap<id::Host, host::Host>,
+) -> IndexMap<id::Domain, Vec<net::SocketAddr>> {
+    let mut found: IndexMap<id::Domain, Vec<net::SocketAddr>> = IndexMap::new();
+    for host in hosts.values() {
+        let addresses = found.entry(host.domain.clone()).or_default();
+        addresses.push(host.settings.announce);
+    }
+    found
+}
--- /dev/null
+++ b/crates/yucca-dev/src/cluster/relay.rs
@@ -0,0 +1,180 @@
+//! Forwarders before the hosts' peer listeners, by which domains are cut off from each other.
+//!
+//! The hosts of each domain open their connections from a loopback address of the domain's own,
+//! which tells a forwarder who calls. What a cut holds up goes on once it heals, as TCP does.
+
+use std::io;
+use std::net;
+use std::sync;
+
+use indexmap::IndexSet;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream, tcp};
+use tokio::sync::watch;
+use tokio::task;
+
+/// The bytes that a forwarder holds of each direction of a connection.
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// The number of a domain in the deployment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Domain(pub u8);
+
+impl Domain {
+    /// Returns the domain with this index in the deployment's ticket.
+    pub fn numbered(index: usize) -> Self {
+        Self(u8::try_from(index).unwrap_or(u8::MAX))
+    }
+
+    /// Returns the loopback address from which the domain's hosts open connections.
+    pub fn source(self) -> net::IpAddr {
+        net::Ipv4Addr::new(127, 0, 1, self.0).into()
+    }
+
+    fn of(source: net::IpAddr) -> Option<Self> {
+        match source {
+            net::IpAddr::V4(address) => match address.octets() {
+                [127, 0, 1, number] => Some(Self(number)),
+                _ => None,
+            },
+            net::IpAddr::V6(_) => None,
+        }
+    }
+}
+
+/// Two domains that have lost each other, the lower number first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Pair {
+    low: Domain,
+    high: Domain,
+}
+
+impl Pair {
+    /// Returns the pair of two domains.
+    pub fn new(one: Domain, other: Domain) -> Self {
+        Self {
+            low: one.min(other),
+            high: one.max(other),
+        }
+    }
+}
+
+/// The pairs of domains that are cut off from each other.
+#[derive(Debug, Default)]
+pub struct Cuts {
+    pairs: watch::Sender<IndexSet<Pair>>,
+}
+
+impl Cuts {
+    /// Cuts a pair of domains off from each other.
+    pub fn cut(&self, pair: Pair) {
+        self.pairs.send_modify(|pairs| {
+            pairs.insert(pair);
+        });
+    }
+
+    /// Heals a pair.
+    pub fn heal(&self, pair: Pair) {
+        self.pairs.send_modify(|pairs| {
+            pairs.swap_remove(&pair);
+        });
+    }
+
+    /// Waits until a pair is not cut.
+    async fn open(&self, pair: Option<Pair>) {
+        let Some(pair) = pair else {
+            return;
+        };
+        let mut pairs = self.pairs.subscribe();
+        // The sender lives as long as `self`, so the wait ends only by the condition.
+        let _ = pairs.wait_for(|pairs| !pairs.contains(&pair)).await;
+    }
+}
+
+/// A running forwarder. Its drop closes all its connections.
+#[derive(Debug)]
+pub struct Relay {
+    address: net::SocketAddr,
+    task: task::JoinHandle<()>,
+}
+
+impl Relay {
+    /// Starts a forwarder on `listen` to a host of `domain`.
+    ///
+    /// # Errors
+    /// Fails where the address cannot be bound.
+    pub async fn start(
+        listen: net::SocketAddr,
+        to: net::SocketAddr,
+        domain: Domain,
+        cuts: sync::Arc<Cuts>,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind(listen).await?;
+        let address = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, to, domain, cuts));
+        Ok(Self { address, task })
+    }
+
+    /// Returns where it listens.
+    pub fn address(&self) -> net::SocketAddr {
+        self.address
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+async fn accept(listener: TcpListener, to: net::SocketAddr, domain: Domain, cuts: sync::Arc<Cuts>) {
+    let mut connections = task::JoinSet::new();
+    loop {
+        tokio::select! {
+            Some(_) = connections.join_next() => {}
+            accepted = listener.accept() => {
+                let Ok((stream, source)) = accepted else {
+                    continue;
+                };
+                let caller = Domain::of(source.ip());
+                let pair = caller.map(|caller| Pair::new(caller, domain));
+                connections.spawn(forward(stream, to, pair, cuts.clone()));
+            }
+        }
+    }
+}
+
+async fn forward(
+    near: TcpStream,
+    to: net::SocketAddr,
+    pair: Option<Pair>,
+    cuts: sync::Arc<Cuts>,
+) -> io::Result<()> {
+    cuts.open(pair).await;
+    let far = TcpStream::connect(to).await?;
+    near.set_nodelay(true)?;
+    far.set_nodelay(true)?;
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let there = copy(near_read, far_write, pair, &cuts);
+    let back = copy(far_read, near_write, pair, &cuts);
+    tokio::try_join!(there, back).map(|_| ())
+}
+
+async fn copy(
+    mut from: tcp::OwnedReadHalf,
+    mut to: tcp::OwnedWriteHalf,
+    pair: Option<Pair>,
+    cuts: &Cuts,
+) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    loop {
+        let read = from.read(&mut buffer).await;
+        cuts.open(pair).await;
+        match read {
+            Ok(0) => return to.shutdown().await,
+            Ok(count) => to.write_all(&buffer[..count]).await?,
+            Err(error) => return Err(error),
+        }
+    }
+}
--- a/crates/yucca-dev/src/lib.rs
+++ b/crates/yucca-dev/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! Nothing here is part of a deployment in use.
 
+pub mod cluster;
 pub mod deployment;
 pub mod fleet;
 pub mod journal;
