--- /dev/null
+++ b/crates/yucca-cli/src/burn/objectives.rs
@@ -0,0 +1,35 @@
+//! The objectives of services, as tickets state them.
+
+use indexmap::IndexMap;
+use serde_json::Value;
+use yucca_wire::table;
+
+use crate::burn::scrape;
+use crate::error::Error;
+use crate::show;
+
+/// The objectives by service and class.
+pub type Objectives = IndexMap<scrape::Line, table::Objective>;
+
+/// Reads the objectives from a table, as `GET /table` shows it.
+///
+/// # Errors
+/// Fails where the table holds objectives in another form.
+pub fn from_table(shown: &Value) -> Result<Objectives, Error> {
+    let mut objectives = Objectives::new();
+    let global = shown.get("global").cloned().unwrap_or_default();
+    for (service, value) in show::members(&global, "services") {
+        for (class, objective) in show::members(value, "objectives") {
+            let objective =
+                serde_json::from_value(objective.clone()).map_err(|error| Error::Answer {
+                    reason: format!("objective of {service}: {error}"),
+                })?;
+            let line = scrape::Line {
+                service: service.into(),
+                class: class.to_lowercase(),
+            };
+            objectives.insert(line, objective);
+        }
+    }
+    Ok(objectives)
+}
--- /dev/null
+++ b/crates/yucca-cli/src/burn/report.rs
@@ -0,0 +1,246 @@
+//! Burn rates: the share of requests that failed, over the share that the objective allows.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use serde::Serialize;
+use yucca_wire::table;
+
+use crate::burn::objectives;
+use crate::burn::record;
+use crate::burn::scrape;
+use crate::show;
+
+/// The period for which an objective holds.
+pub const PERIOD: Duration = Duration::from_secs(30 * 24 * 3600);
+
+/// The windows, shortest first: a fast pair for what burns now, a slow pair for what smoulders.
+pub const WINDOWS: [Window; 4] = [
+    Window::new("5m", 5 * 60),
+    Window::new("1h", 3600),
+    Window::new("6h", 6 * 3600),
+    Window::new("3d", 3 * 24 * 3600),
+];
+
+/// The burn rate in both fast windows from which somebody is woken: 2 % of a period's budget an
+/// hour.
+const FAST_BURN: f64 = 14.4;
+
+/// The burn rate in both slow windows from which a ticket is due: 10 % of the budget in three days.
+const SLOW_BURN: f64 = 1.0;
+
+/// A window of time.
+#[derive(Debug, Clone, Copy)]
+pub struct Window {
+    /// Its name.
+    pub name: &'static str,
+    /// Its length.
+    pub length: Duration,
+}
+
+impl Window {
+    const fn new(name: &'static str, seconds: u64) -> Self {
+        Self {
+            name,
+            length: Duration::from_secs(seconds),
+        }
+    }
+}
+
+/// How one service and class stands.
+#[derive(Debug, Clone, Serialize)]
+pub struct Standing {
+    /// The service and class.
+    pub line: scrape::Line,
+    /// The share of requests that the objective wants served.
+    pub availability: f64,
+    /// Requests in the whole record.
+    pub requests: u64,
+    /// Requests of the record that were not served.
+    pub failures: u64,
+    /// Requests of the record that were answered later than the latency objective.
+    pub slow: u64,
+    /// The burn rate by window; none where the record is shorter than two readings.
+    pub burn: IndexMap<&'static str, Option<f64>>,
+    /// The share of the period's budget that the record used.
+    pub budget_used: f64,
+    /// Hours until the budget is gone at the rate of the shortest window; none where it holds.
+    pub gone_in_hours: Option<f64>,
+    /// What burned the budget, by cause, the largest first.
+    pub causes: IndexMap<String, u64>,
+    /// Whether the 99th percentile is later than its objective.
+    pub late: bool,
+    /// What is due.
+    pub alarm: Alarm,
+}
+
+/// What is due.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Alarm {
+    /// Nothing.
+    None,
+    /// A ticket in the morning.
+    Slow,
+    /// Somebody looks now.
+    Fast,
+}
+
+/// Computes how each service and class stands at the end of a record.
+pub fn compute(readings: &[record::Reading], objectives: &objectives::Objectives) -> Vec<Standing> {
+    let Some(last) = readings.last() else {
+        return Vec::new();
+    };
+    let lines = last.sample.keys();
+    lines
+        .map(|line| {
+            let objective = objectives.get(line).cloned().unwrap_or(table::Objective {
+                availability: 0.999,
+                latency: yucca_wire::unit::Span::from_millis(100),
+            });
+            standing(readings, line, &objective)
+        })
+        .collect()
+}
+
+fn standing(
+    readings: &[record::Reading],
+    line: &scrape::Line,
+    objective: &table::Objective,
+) -> Standing {
+    let whole = within(readings, line, Duration::MAX);
+    let allowed = (1.0 - objective.availability).max(f64::EPSILON);
+    let rate = |counts: &scrape::Counts| {
+        (counts.requests > 0).then(|| share(counts.failures(), counts.requests) / allowed)
+    };
+    let burn: IndexMap<&'static str, Option<f64>> = WINDOWS
+        .iter()
+        .map(|window| {
+            let counts = within(readings, line, window.length);
+            (window.name, rate(&counts))
+        })
+        .collect();
+    let spanned = span(readings);
+    let used = rate(&whole).unwrap_or_default() * spanned.as_secs_f64() / PERIOD.as_secs_f64();
+    let fastest = burn.get(WINDOWS[0].name).copied().flatten();
+    let mut causes = whole.failed.clone();
+    causes.sort_by(|_, a, _, b| b.cmp(a));
+    causes.retain(|_, count| *count > 0);
+    Standing {
+        line: line.clone(),
+        availability: objective.availability,
+        requests: whole.requests,
+        failures: whole.failures(),
+        slow: whole.slow,
+        budget_used: used,
+        gone_in_hours: fastest.and_then(|rate| gone_in_hours(rate, used)),
+        alarm: alarm(&burn),
+        late: share(whole.slow, whole.requests) > 0.01,
+        causes,
+        burn,
+    }
+}
+
+fn share(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
+    }
+    part as f64 / whole as f64
+}
+
+fn span(readings: &[record::Reading]) -> Duration {
+    let first = readings.first().map_or(0, |reading| reading.at_ms);
+    let last = readings.last().map_or(0, |reading| reading.at_ms);
+    Duration::from_millis(last.saturating_sub(first))
+}
+
+/// Returns what was counted in the last `length` of the record.
+fn within(readings: &[record::Reading], line: &scrape::Line, length: Duration) -> scrape::Counts {
+    let end = readings.last().map_or(0, |reading| reading.at_ms);
+    let start = end.saturating_sub(u64::try_from(length.as_millis()).unwrap_or(u64::MAX));
+    let from = readings.iter().rposition(|reading| reading.at_ms <= start);
+    let from = from.unwrap_or(0);
+    let mut total = scrape::Counts::default();
+    for pair in readings[from..].windows(2) {
+        let none = scrape::Counts::default();
+        let earlier = pair[0].sample.get(line).unwrap_or(&none);
+        if let Some(later) = pair[1].sample.get(line) {
+            total.add(&later.since(earlier));
+        }
+    }
+    total
+}
+
+fn gone_in_hours(rate: f64, used: f64) -> Option<f64> {
+    if rate <= 0.0 || used >= 1.0 {
+        return (used >= 1.0).then_some(0.0);
+    }
+    Some((1.0 - used) * PERIOD.as_secs_f64() / 3600.0 / rate)
+}
+
+fn alarm(burn: &IndexMap<&'static str, Option<f64>>) -> Alarm {
+    let above = |index: usize, limit: f64| {
+        let rate = burn.get(WINDOWS[index].name).copied().flatten();
+        rate.is_some_and(|rate| rate >= limit)
+    };
+    if above(0, FAST_BURN) && above(1, FAST_BURN) {
+        Alarm::Fast
+    } else if above(2, SLOW_BURN) && above(3, SLOW_BURN) {
+        Alarm::Slow
+    } else {
+        Alarm::None
+    }
+}
+
+/// Returns the report as a table for a terminal.
+pub fn table(standings: &[Standing]) -> String {
+    let rows = standings.iter().map(|standing| {
+        let mut row = vec![
+            standing.line.to_string(),
+            standing.requests.to_string(),
+            standing.failures.to_string(),
+            standing.slow.to_string(),
+        ];
+        row.extend(standing.burn.values().map(|rate| match rate {
+            Some(rate) => format!("{rate:.2}"),
+            None => "-".into(),
+        }));
+        row.push(format!("{:.2} %", standing.budget_used * 100.0));
+        row.push(match standing.gone_in_hours {
+            Some(hours) => format!("{hours:.0} h"),
+            None => "-".into(),
+        });
+        row.push(causes(standing));
+        row.push(format!("{:?}", standing.alarm).to_lowercase());
+        row
+    });
+    show::table(
+        &[
+            "service/class",
+            "requests",
+            "failed",
+            "slow",
+            "burn 5m",
+            "1h",
+            "6h",
+            "3d",
+            "budget used",
+            "gone in",
+            "causes",
+            "alarm",
+        ],
+        rows.collect(),
+    )
+}
+
+/// Returns the causes as text, the largest first.
+pub fn causes(standing: &Standing) -> String {
+    let causes = standing.causes.iter();
+    let texts: Vec<String> = causes
+        .map(|(cause, count)| format!("{cause} {count}"))
+        .collect();
+    if texts.is_empty() {
+        return "-".into();
+    }
+    texts.join(", ")
+}
--- /dev/null
+++ b/crates/yucca-cli/src/command/status.rs
@@ -0,0 +1,46 @@
+//! `yucca status`
+
+use serde_json::Value;
+
+use crate::client;
+use crate::command::{domain_list, target_list};
+use crate::error::Error;
+use crate::show;
+
+/// Shows what the deployment does now.
+///
+/// # Errors
+/// Fails where no control process answers.
+pub async fn run(client: &client::Client) -> Result<show::Report, Error> {
+    let status = client.get("/status").await?;
+    let global = status.get("global").cloned().unwrap_or_default();
+    let headline = format!(
+        "{}, seen from {} in {}; global version {}",
+        show::text(&status, "deployment"),
+        show::text(&status, "host"),
+        show::text(&status, "domain"),
+        show::text(&global, "version"),
+    );
+    let text = format!(
+        "{headline}\n\n{}\n\n{}\n\n{}",
+        domain_list::table(&status),
+        hosts(&status),
+        target_list::table(&status)
+    );
+    Ok(show::Report::new(status, text))
+}
+
+fn hosts(status: &Value) -> String {
+    let mut rows = Vec::new();
+    for (domain, value) in show::members(status, "domains") {
+        for (host, seen) in show::members(value, "hosts") {
+            rows.push(vec![
+                host.to_owned(),
+                domain.to_owned(),
+                show::text(seen, "heard_ms_ago"),
+                show::text(seen, "global"),
+            ]);
+        }
+    }
+    show::table(&["host", "domain", "heard ms ago", "global version"], rows)
+}
--- a/crates/yucca-entry/src/request.rs
+++ b/crates/yucca-entry/src/request.rs
@@ -5,4 +5,5 @@
 pub mod choose;
 pub mod fields;
 pub mod forward;
+pub mod measure;
 pub mod parse;
