--- /dev/null
+++ b/crates/yucca-control/src/connection.rs
@@ -0,0 +1,3 @@
+//! What lives as long as a connection.
+
+pub mod listener;
--- /dev/null
+++ b/crates/yucca-control/src/guard.rs
@@ -0,0 +1,75 @@
+//! Tells messages that were recorded and sent again from new ones.
+
+use std::collections::VecDeque;
+use std::sync;
+
+use indexmap::{IndexMap, IndexSet};
+use yucca_wire::id;
+
+/// How far a message may lag behind the newest one of its sender.
+const WINDOW: u64 = 1024;
+
+/// How many earlier lives of a sender are remembered.
+const MAX_RETIRED: usize = 64;
+
+/// Remembers the messages heard from each sender.
+///
+/// Lives of a sender are told apart by a random number and not by a clock, which may be set back.
+/// A process that has just started cannot know a recorded message that it never heard.
+#[derive(Debug, Default)]
+pub struct Guard {
+    senders: sync::Mutex<IndexMap<id::Host, Sender>>,
+}
+
+#[derive(Debug, Default)]
+struct Sender {
+    incarnation: u64,
+    retired: VecDeque<u64>,
+    newest: u64,
+    recent: IndexSet<u64>,
+}
+
+impl Guard {
+    /// Tells whether a message is heard for the first time, and remembers it.
+    pub fn admits(&self, from: &id::Host, incarnation: u64, sequence: u64) -> bool {
+        let mut senders = self
+            .senders
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner);
+        let sender = senders.entry(from.clone()).or_default();
+        if sender.incarnation != incarnation {
+            if sender.retired.contains(&incarnation) {
+                return false;
+            }
+            sender.restart(incarnation);
+        }
+        sender.admits(sequence)
+    }
+}
+
+impl Sender {
+    fn restart(&mut self, incarnation: u64) {
+        self.retired.push_back(self.incarnation);
+        if self.retired.len() > MAX_RETIRED {
+            self.retired.pop_front();
+        }
+        self.incarnation = incarnation;
+        self.newest = 0;
+        self.recent.clear();
+    }
+
+    fn admits(&mut self, sequence: u64) -> bool {
+        let stale = sequence + WINDOW <= self.newest;
+        if stale || !self.recent.insert(sequence) {
+            return false;
+        }
+        if sequence > self.newest {
+            self.newest = sequence;
+        }
+        if self.recent.len() as u64 > 2 * WINDOW {
+            let floor = self.newest.saturating_sub(WINDOW);
+            self.recent.retain(|heard| *heard > floor);
+        }
+        true
+    }
+}
--- a/crates/yucca-control/src/lib.rs
+++ b/crates/yucca-control/src/lib.rs
@@ -1,1 +1,18 @@
-//! Under construction; see `docs/design/`.
+//! The control process: one on each host, for what the system agrees on and keeps.
+//!
+//! It runs replicas of the global log and of its domain's log, hears entry processes and
+//! operators, and passes versions of the table on: global log, domain, host.
+
+pub mod connection;
+pub mod courier;
+pub mod directory;
+pub mod guard;
+pub mod machine;
+pub mod message;
+pub mod peer;
+pub mod post;
+pub mod process;
+pub mod replica;
+pub mod request;
+pub mod settings;
+pub mod version;
--- /dev/null
+++ b/crates/yucca-control/src/process/core.rs
@@ -0,0 +1,334 @@
+//! What the parts of the process share.
+
+use std::sync;
+use std::time;
+
+use arc_swap::{ArcSwap, ArcSwapOption};
+use indexmap::IndexMap;
+use rand::rngs;
+use rand::{Rng, SeedableRng};
+use tokio::task;
+use yucca_log::{message as log_message, node};
+use yucca_own::{domain, global};
+use yucca_wire::{codec, id};
+
+use crate::courier;
+use crate::directory;
+use crate::guard;
+use crate::machine;
+use crate::message;
+use crate::peer;
+use crate::post;
+use crate::process::{follow, lead, ready, seat};
+use crate::replica;
+use crate::settings;
+use crate::version::feed;
+
+/// What the parts of the process share.
+///
+/// Locks are taken in the order `seats`, a seat's `evidence`, a seat's `machine`, `hosts`, and
+/// none is held across an await. The feed's own lock comes last.
+pub struct Core {
+    /// The settings.
+    pub settings: settings::Settings,
+    /// The deployment.
+    pub deployment: codec::Deployment,
+    /// Sends messages to other control processes.
+    pub post: sync::Arc<post::Post>,
+    /// The newest table.
+    pub feed: sync::Arc<feed::Feed>,
+    /// The hosts.
+    pub directory: sync::Arc<ArcSwap<directory::Directory>>,
+    /// Refuses messages that were heard before.
+    pub guard: guard::Guard,
+    /// Whether the process knows enough to serve.
+    pub ready: ready::Ready,
+    courier: sync::Arc<courier::Courier>,
+    random: sync::Mutex<rngs::StdRng>,
+    told_leader: ArcSwapOption<id::Host>,
+    seats: sync::RwLock<Seats>,
+    start: tokio::time::Instant,
+}
+
+/// The logs that this host takes part in.
+#[derive(Default)]
+struct Seats {
+    global: Option<sync::Arc<seat::Global>>,
+    domains: IndexMap<id::Domain, sync::Arc<seat::Domain>>,
+}
+
+impl Core {
+    /// Returns the core of a process that calls others through `peer` and draws from `seed`.
+    pub fn new(
+        settings: settings::Settings,
+        peer: sync::Arc<dyn peer::Peer>,
+        seed: u64,
+    ) -> sync::Arc<Self> {
+        let mut random = rngs::StdRng::seed_from_u64(seed);
+        let deployment = codec::Deployment::new(&settings.deployment);
+        let host = settings.host.clone();
+        let post = post::Post::new(peer, deployment, host, random.random());
+        let post = sync::Arc::new(post);
+        let feed = sync::Arc::new(feed::Feed::default());
+        let known = directory::Directory::new(&settings.peers, &feed.global());
+        let directory = sync::Arc::new(ArcSwap::from_pointee(known));
+        let courier = courier::Courier::new(post.clone(), loader(&directory));
+        sync::Arc::new(Self {
+            settings,
+            deployment,
+            post,
+            feed,
+            directory,
+            guard: guard::Guard::default(),
+            ready: ready::Ready::default(),
+            courier: sync::Arc::new(courier),
+            random: sync::Mutex::new(random),
+            told_leader: ArcSwapOption::empty(),
+            seats: sync::RwLock::default(),
+            start: tokio::time::Instant::now(),
+        })
+    }
+
+    fn draw(&self) -> u64 {
+        lead::lock(&self.random).random()
+    }
+
+    fn incarnations(&self) -> rngs::StdRng {
+        rngs::StdRng::seed_from_u64(self.draw())
+    }
+
+    /// Returns the time since the process started.
+    pub fn now(&self) -> time::Duration {
+        self.start.elapsed()
+    }
+
+    fn seats(&self) -> sync::RwLockReadGuard<'_, Seats> {
+        self.seats
+            .read()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    fn seats_mut(&self) -> sync::RwLockWriteGuard<'_, Seats> {
+        self.seats
+            .write()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Returns the global log, where this host takes part in it.
+    pub fn global(&self) -> Option<sync::Arc<seat::Global>> {
+        self.seats().global.clone()
+    }
+
+    /// Returns a domain's log, where this host takes part in it.
+    pub fn domain(&self, domain: &id::Domain) -> Option<sync::Arc<seat::Domain>> {
+        self.seats().domains.get(domain).cloned()
+    }
+
+    /// Returns the domains' logs that this host takes part in.
+    pub fn domains(&self) -> Vec<sync::Arc<seat::Domain>> {
+        self.seats().domains.values().cloned().collect()
+    }
+
+    /// Returns what this host knows of a log, where it takes part in it.
+    pub fn standing(&self, log: &message::Log) -> Option<replica::Standing> {
+        match log {
+            message::Log::Global => self.global().map(|seat| seat.replica.standing()),
+            message::Log::Domain(domain) => self.domain(domain).map(|seat| seat.replica.standing()),
+        }
+    }
+
+    /// Returns the leader of a log, as far as this host knows.
+    pub fn leader_hint(&self, log: &message::Log) -> Option<id::Host> {
+        if let Some(standing) = self.standing(log).filter(|standing| standing.member) {
+            return standing.leader;
+        }
+        let own = matches!(log, message::Log::Domain(domain) if *domain == self.settings.domain);
+        self.told_leader
+            .load_full()
+            .filter(|_| own)
+            .map(|leader| id::Host::clone(&leader))
+    }
+
+    /// Notes who leads this host's domain, as another host says. It counts only where this host
+    /// is no member of the domain's log.
+    pub fn note_leader(&self, leader: Option<id::Host>) {
+        self.told_leader.store(leader.map(sync::Arc::new));
+    }
+
+    /// Tells whether this host leads its own domain.
+    pub fn leads_domain(&self) -> bool {
+        let log = message::Log::Domain(self.settings.domain.clone());
+        self.standing(&log).is_some_and(|standing| standing.leads)
+    }
+
+    /// Takes in messages of another host's replicas.
+    pub fn receive(&self, from: &id::Host, messages: Vec<log_message::Message>) {
+        let seats = self.seats();
+        for message in messages {
+            match seats.find(message.group) {
+                Some(replica) => replica.receive(from.clone(), message),
+                None => metrics::counter!("yucca_control_log_messages_lost_total").increment(1),
+            }
+        }
+    }
+
+    /// Starts replicas of the logs that this host is to take part in and has no replica of.
+    fn take_seats(&self) -> Result<(), yucca_log::storage::Error> {
+        let directory = self.directory.load();
+        let own = &self.settings.host;
+        let global = seat::seating(&directory, &message::Log::Global);
+        if global.hosts.contains(own) && self.global().is_none() {
+            let taken = self.open_global(global)?;
+            self.seats_mut().global = Some(sync::Arc::new(taken));
+        }
+        for domain in directory.domains() {
+            let seating = seat::seating(&directory, &message::Log::Domain(domain.clone()));
+            if seating.hosts.contains(own) && self.domain(&domain).is_none() {
+                let taken = self.open_domain(&domain, seating)?;
+                self.seats_mut()
+                    .domains
+                    .insert(domain, sync::Arc::new(taken));
+            }
+        }
+        Ok(())
+    }
+
+    fn open_global(
+        &self,
+        seating: seat::Seating,
+    ) -> Result<seat::Global, yucca_log::storage::Error> {
+        let machine = machine::global::Global::default();
+        let machine = sync::Arc::new(sync::Mutex::new(machine));
+        let log = message::Log::Global;
+        let parts = self.parts(log, seating, replica::Rule::Spread, machine.clone());
+        Ok(seat::Global {
+            replica: replica::Replica::start(parts)?,
+            machine,
+            evidence: sync::Mutex::new(global::Evidence::new(self.now())),
+        })
+    }
+
+    fn open_domain(
+        &self,
+        name: &id::Domain,
+        seating: seat::Seating,
+    ) -> Result<seat::Domain, yucca_log::storage::Error> {
+        let machine = machine::domain::Domain::new(name.clone());
+        let machine = sync::Arc::new(sync::Mutex::new(machine));
+        let log = message::Log::Domain(name.clone());
+        let rule = replica::Rule::Local(name.clone());
+        let parts = self.parts(log, seating, rule, machine.clone());
+        Ok(seat::Domain {
+            domain: name.clone(),
+            replica: replica::Replica::start(parts)?,
+            machine,
+            evidence: sync::Mutex::new(domain::Evidence::new(self.now())),
+            hosts: sync::Mutex::default(),
+        })
+    }
+
+    fn parts(
+        &self,
+        log: message::Log,
+        seating: seat::Seating,
+        rule: replica::Rule,
+        machine: replica::Shared,
+    ) -> replica::Parts {
+        let mut config = node::Config::new(self.settings.host.clone(), &log.to_string());
+        config.founders = seating.founders;
+        config.seed = self.draw();
+        replica::Parts {
+            opener: self.opener(&log),
+            log,
+            config,
+            machine,
+            courier: self.courier.clone(),
+            feed: self.feed.clone(),
+            hosts: loader(&self.directory),
+            rule,
+        }
+    }
+
+    fn opener(&self, log: &message::Log) -> Box<dyn replica::storage::Opener> {
+        match &self.settings.data {
+            Some(data) => Box::new(replica::storage::Disk {
+                data: data.clone(),
+                host: self.settings.host.clone(),
+                log: log.clone(),
+                incarnations: self.incarnations(),
+            }),
+            None => Box::new(replica::storage::Memory {
+                incarnations: self.incarnations(),
+            }),
+        }
+    }
+
+    /// Hands leadership of all logs over, within `patience`.
+    pub async fn hand_over(&self, patience: time::Duration) {
+        let global = self.global();
+        let domains = self.domains();
+        let mut replicas: Vec<&replica::Replica> = Vec::new();
+        replicas.extend(global.iter().map(|seat| &seat.replica));
+        replicas.extend(domains.iter().map(|seat| &seat.replica));
+        let all = replicas
+            .into_iter()
+            .map(|replica| replica.hand_over(patience));
+        futures_util::future::join_all(all).await;
+    }
+
+    /// Ends all replicas at once.
+    pub fn abort(&self) {
+        self.courier.abort();
+        let mut seats = self.seats_mut();
+        if let Some(seat) = seats.global.take() {
+            seat.replica.abort();
+        }
+        for (_, seat) in seats.domains.drain(..) {
+            seat.replica.abort();
+        }
+    }
+
+    /// Keeps the directory and the replicas in step with what tickets say of hosts.
+    async fn keep_directory(self: sync::Arc<Self>) {
+        let mut news = self.feed.subscribe();
+        while news.changed().await.is_ok() {
+            let known = directory::Directory::new(&self.settings.peers, &self.feed.global());
+            if **self.directory.load() == known {
+                continue;
+            }
+            log::info!("hosts: {} known", known.hosts.len());
+            self.directory.store(sync::Arc::new(known));
+            if let Err(error) = self.take_seats() {
+                log::error!("no replica for a new domain: {error}");
+            }
+        }
+    }
+}
+
+impl Seats {
+    fn find(&self, group: log_message::Group) -> Option<&replica::Replica> {
+        let global = self.global.iter().map(|seat| &seat.replica);
+        let domains = self.domains.values().map(|seat| &seat.replica);
+        let mut all = global.chain(domains);
+        all.find(|replica| replica.group() == group)
+    }
+}
+
+fn loader(directory: &sync::Arc<ArcSwap<directory::Directory>>) -> directory::Hosts {
+    let directory = directory.clone();
+    sync::Arc::new(move || directory.load_full())
+}
+
+/// Starts the replicas and the tasks of a process.
+///
+/// # Errors
+/// Fails where the storage of a log cannot be opened.
+pub fn run(core: &sync::Arc<Core>) -> Result<task::JoinSet<()>, yucca_log::storage::Error> {
+    core.take_seats()?;
+    let mut tasks = task::JoinSet::new();
+    tasks.spawn(core.clone().keep_directory());
+    tasks.spawn(lead::run_global(core.clone()));
+    tasks.spawn(lead::run_domains(core.clone()));
+    tasks.spawn(follow::run(core.clone()));
+    Ok(tasks)
+}
--- /dev/null
+++ b/crates/yucca-control/src/process/errand.rs
@@ -0,0 +1,159 @@
+//! Messages that only the leader of a log can answer.
+
+use std::time;
+
+use futures_util::future;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use yucca_wire::id;
+
+use crate::message::{self, Answered, Hear, Heard, Log, Propose, Proposed, Question};
+use crate::process::core;
+use crate::process::seat;
+
+/// How long to wait before all hosts of a log are asked anew.
+const PAUSE: time::Duration = time::Duration::from_millis(40);
+
+/// A message that only the leader of a log can answer.
+pub trait Errand: Serialize + Clone + Send + Sync + 'static {
+    /// The answer.
+    type Answer: DeserializeOwned + Send;
+
+    /// The path of the message.
+    const PATH: &'static str;
+
+    /// Returns the log.
+    fn log(&self) -> Log;
+
+    /// Answers it on this host.
+    fn serve(self, core: &core::Core) -> future::BoxFuture<'_, Self::Answer>;
+
+    /// Returns what an answer means for the search of the leader.
+    fn verdict(answer: &Self::Answer) -> Verdict;
+}
+
+/// What an answer means for the search of the leader.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Verdict {
+    /// The leader answered.
+    Done,
+    /// The host follows another one.
+    Elsewhere(Option<id::Host>),
+    /// The host cannot tell.
+    Unknown,
+}
+
+impl Errand for Propose {
+    type Answer = Proposed;
+    const PATH: &'static str = message::PROPOSE_PATH;
+
+    fn log(&self) -> Log {
+        self.log.clone()
+    }
+
+    fn serve(self, core: &core::Core) -> future::BoxFuture<'_, Proposed> {
+        Box::pin(core.serve_propose(self))
+    }
+
+    fn verdict(answer: &Proposed) -> Verdict {
+        match answer {
+            Proposed::Applied(_) => Verdict::Done,
+            Proposed::NotLeader(leader) => Verdict::Elsewhere(leader.clone()),
+            Proposed::Unknown(_) => Verdict::Unknown,
+        }
+    }
+}
+
+impl Errand for Hear {
+    type Answer = Heard;
+    const PATH: &'static str = message::HEAR_PATH;
+
+    fn log(&self) -> Log {
+        Log::Domain(self.domain.clone())
+    }
+
+    fn serve(self, core: &core::Core) -> future::BoxFuture<'_, Heard> {
+        Box::pin(core.serve_hear(self))
+    }
+
+    fn verdict(answer: &Heard) -> Verdict {
+        match answer {
+            Heard::Yes { .. } => Verdict::Done,
+            Heard::NotLeader(leader) => Verdict::Elsewhere(leader.clone()),
+        }
+    }
+}
+
+impl Errand for Question {
+    type Answer = Answered;
+    const PATH: &'static str = message::QUESTION_PATH;
+
+    fn log(&self) -> Log {
+        match self {
+            Self::Hosts(domain) => Log::Domain(domain.clone()),
+            Self::Tickets | Self::Ticket(_) | Self::Logs => Log::Global,
+        }
+    }
+
+    fn serve(self, core: &core::Core) -> future::BoxFuture<'_, Answered> {
+        Box::pin(core.serve_question(self))
+    }
+
+    fn verdict(answer: &Answered) -> Verdict {
+        match answer {
+            Answered::Json(_) => Verdict::Done,
+            Answered::NotLeader(leader) => Verdict::Elsewhere(leader.clone()),
+            Answered::Unknown(_) => Verdict::Unknown,
+        }
+    }
+}
+
+impl core::Core {
+    /// Takes an errand to the leader of its log, wherever it is, within `patience`.
+    ///
+    /// An errand may arrive more than once, so it must do no harm when repeated.
+    pub async fn take<E: Errand>(&self, errand: E, patience: time::Duration) -> Option<E::Answer> {
+        let search = self.search(errand);
+        tokio::time::timeout(patience, search).await.ok()
+    }
+
+    async fn search<E: Errand>(&self, errand: E) -> E::Answer {
+        let log = errand.log();
+        let mut hint = self.leader_hint(&log);
+        loop {
+            let mut hosts = seat::seating(&self.directory.load(), &log).hosts;
+            // The last one is asked first; each host is asked once a round.
+            hosts.reverse();
+            while let Some(host) = next_host(&mut hint, &mut hosts) {
+                let Some(answer) = self.ask(&host, errand.clone()).await else {
+                    continue;
+                };
+                match E::verdict(&answer) {
+                    Verdict::Done => return answer,
+                    Verdict::Elsewhere(leader) => hint = leader.filter(|l| hosts.contains(l)),
+                    Verdict::Unknown => {}
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+            hint = self.leader_hint(&log);
+        }
+    }
+
+    async fn ask<E: Errand>(&self, host: &id::Host, errand: E) -> Option<E::Answer> {
+        if *host == self.settings.host {
+            return Some(errand.serve(self).await);
+        }
+        let address = self.directory.load().address(host)?;
+        let patience = self.settings.timing.answer.0;
+        let answer = self.post.send(address, E::PATH, errand, patience).await;
+        answer.ok()
+    }
+}
+
+fn next_host(hint: &mut Option<id::Host>, hosts: &mut Vec<id::Host>) -> Option<id::Host> {
+    if let Some(host) = hint.take() {
+        hosts.retain(|other| *other != host);
+        return Some(host);
+    }
+    hosts.pop()
+}
--- /dev/null
+++ b/crates/yucca-control/src/process/lead.rs
@@ -0,0 +1,164 @@
+//! What the leaders of the logs decide, and how they propose it.
+
+use std::sync;
+use std::time;
+
+use futures_util::future;
+use indexmap::IndexMap;
+use yucca_own::{domain, global};
+use yucca_wire::{id, table};
+
+use crate::machine;
+use crate::message;
+use crate::process::core::Core;
+use crate::process::seat;
+
+/// How often a domain's leader is heard by the leader of the global log, at least.
+const UPWARD: time::Duration = time::Duration::from_secs(1);
+
+/// How long the leader of the global log may take to answer a domain's leader.
+const UPWARD_PATIENCE: time::Duration = time::Duration::from_secs(1);
+
+/// How long planning waits for the commit of what it proposed.
+const COMMIT_PATIENCE: time::Duration = time::Duration::from_secs(2);
+
+/// Locks, whatever happened to an earlier holder.
+pub(crate) fn lock<T: ?Sized>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
+
+/// Plans for the global log while this host leads it.
+pub(super) async fn run_global(core: sync::Arc<Core>) {
+    let mut led = false;
+    let mut ticks = tokio::time::interval(core.settings.timing.plan.0);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        let Some(seat) = core.global() else {
+            continue;
+        };
+        let leads = seat.replica.standing().leads;
+        if leads && !led {
+            *lock(&seat.evidence) = global::Evidence::new(core.now());
+        }
+        led = leads;
+        if leads {
+            plan_global(&core, &seat).await;
+        }
+    }
+}
+
+async fn plan_global(core: &Core, seat: &seat::Global) {
+    let now = core.now();
+    let commands = {
+        let mut evidence = lock(&seat.evidence);
+        let machine = lock(&seat.machine);
+        evidence.observe(&machine.state, now);
+        machine.state.plan(&evidence, now)
+    };
+    let proposals = commands
+        .iter()
+        .map(|c| seat.replica.propose(machine::pack(c)));
+    let all = future::join_all(proposals);
+    // A leader that lost its quorum learns so by its own clock, and then plans no more.
+    tokio::time::timeout(COMMIT_PATIENCE, all).await.ok();
+}
+
+/// Plans for the domains' logs that this host leads.
+pub(super) async fn run_domains(core: sync::Arc<Core>) {
+    let mut led: IndexMap<id::Domain, Led> = IndexMap::new();
+    let mut ticks = tokio::time::interval(core.settings.timing.plan.0);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        ticks.tick().await;
+        for seat in core.domains() {
+            if !seat.replica.standing().leads {
+                led.swap_remove(&seat.domain);
+                continue;
+            }
+            if !led.contains_key(&seat.domain) {
+                *lock(&seat.evidence) = domain::Evidence::new(core.now());
+                lock(&seat.hosts).clear();
+                led.insert(seat.domain.clone(), Led::default());
+            }
+            if let Some(led) = led.get_mut(&seat.domain) {
+                plan_domain(&core, &seat, led).await;
+            }
+        }
+    }
+}
+
+/// What a leader of a domain's log did.
+#[derive(Debug, Default)]
+struct Led {
+    /// When the global log's leader was last told of the domain.
+    told: Option<time::Duration>,
+    /// What it was told.
+    commands: Vec<global::Command>,
+}
+
+async fn plan_domain(core: &sync::Arc<Core>, seat: &seat::Domain, led: &mut Led) {
+    let now = core.now();
+    let mut commands = {
+        let mut evidence = lock(&seat.evidence);
+        let machine = lock(&seat.machine);
+        evidence.observe(&machine.state, now);
+        machine.state.plan(&evidence, now)
+    };
+    let global = core.feed.global();
+    let taken = lock(&seat.machine).state.global().version;
+    if global.version > taken {
+        commands.insert(0, domain::Command::Global(global));
+    }
+    let proposals = commands
+        .iter()
+        .map(|c| seat.replica.propose(machine::pack(c)));
+    let all = future::join_all(proposals);
+    tokio::time::timeout(COMMIT_PATIENCE, all).await.ok();
+    tell_upward(core, seat, led);
+}
+
+/// Tells the leader of the global log what it should know of the domain.
+fn tell_upward(core: &sync::Arc<Core>, seat: &seat::Domain, led: &mut Led) {
+    let now = core.now();
+    let commands = upward(&lock(&seat.machine).state);
+    if commands.is_empty() {
+        return;
+    }
+    let due = led.told.is_none_or(|told| now >= told + UPWARD);
+    if commands == led.commands && !due {
+        return;
+    }
+    led.told = Some(now);
+    led.commands.clone_from(&commands);
+    let core = core.clone();
+    tokio::spawn(async move {
+        let errands = commands.iter().map(|command| message::Propose {
+            log: message::Log::Global,
+            entry: machine::pack(command),
+        });
+        let all = errands.map(|errand| core.take(errand, UPWARD_PATIENCE));
+        // Without an answer it is told again.
+        future::join_all(all).await;
+    });
+}
+
+/// Returns nothing until a ticket has named the domain.
+fn upward(state: &domain::State) -> Vec<global::Command> {
+    if !state.global().domains.contains_key(state.domain()) {
+        return Vec::new();
+    }
+    let mut commands = state.upward();
+    let leased = state
+        .global()
+        .services
+        .values()
+        .any(|service| matches!(service.on_cut, table::Cut::MoveAfter(_)));
+    if leased {
+        commands.push(global::Command::Renew {
+            domain: state.domain().clone(),
+            generation: state.generation(),
+        });
+    }
+    commands
+}
--- /dev/null
+++ b/crates/yucca-control/src/process/seat.rs
@@ -0,0 +1,160 @@
+//! The logs that this host takes part in.
+
+use std::sync;
+use std::time;
+
+use indexmap::IndexMap;
+use yucca_own::{domain, global};
+use yucca_wire::{id, report};
+
+use crate::directory;
+use crate::machine;
+use crate::message;
+use crate::replica;
+
+/// The most hosts that run a replica of the global log; those beyond its voters are spares.
+const MAX_GLOBAL: usize = 9;
+
+/// The founding voters of the global log.
+const GLOBAL_FOUNDERS: usize = 5;
+
+/// The most hosts of a domain that run a replica of its log.
+const MAX_LOCALS: usize = 8;
+
+/// The founding voters of a domain's log in the domain itself.
+const LOCAL_FOUNDERS: usize = 3;
+
+/// The most hosts of other domains that run a replica of a domain's log.
+const MAX_WITNESSES: usize = 4;
+
+/// The global log on this host.
+pub struct Global {
+    /// The replica.
+    pub replica: replica::Replica,
+    /// The state.
+    pub machine: sync::Arc<sync::Mutex<machine::global::Global>>,
+    /// What the leader saw itself.
+    pub evidence: sync::Mutex<global::Evidence>,
+}
+
+/// A domain's log on this host.
+pub struct Domain {
+    /// The domain.
+    pub domain: id::Domain,
+    /// The replica.
+    pub replica: replica::Replica,
+    /// The state.
+    pub machine: sync::Arc<sync::Mutex<machine::domain::Domain>>,
+    /// What the leader saw itself.
+    pub evidence: sync::Mutex<domain::Evidence>,
+    /// The hosts that report, as the leader hears them.
+    pub hosts: sync::Mutex<IndexMap<id::Host, Host>>,
+}
+
+/// A host that reports.
+#[derive(Debug, Clone)]
+pub struct Host {
+    /// When it was heard.
+    pub heard: time::Duration,
+    /// The start of its process.
+    pub incarnation: u64,
+    /// The global version in force there.
+    pub global: id::Version,
+    /// The domain versions in force there.
+    pub locals: IndexMap<id::Domain, id::Version>,
+}
+
+impl Host {
+    /// Returns what a report tells of its host.
+    pub fn new(report: &report::Report, heard: time::Duration) -> Self {
+        Self {
+            heard,
+            incarnation: report.incarnation,
+            global: report.global,
+            locals: report.locals.clone(),
+        }
+    }
+}
+
+/// The hosts that run replicas of a log.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Seating {
+    /// The hosts that found the log, the one that acts first.
+    pub founders: Vec<id::Host>,
+    /// All hosts that run a replica, founders first.
+    pub hosts: Vec<id::Host>,
+}
+
+/// Returns the hosts that run replicas of a log.
+pub fn seating(directory: &directory::Directory, log: &message::Log) -> Seating {
+    match log {
+        message::Log::Global => global_seating(directory),
+        message::Log::Domain(domain) => domain_seating(directory, domain),
+    }
+}
+
+/// Takes hosts with disks from the domains in turn.
+fn global_seating(directory: &directory::Directory) -> Seating {
+    let columns = directory.domains().into_iter().map(|domain| {
+        let hosts = directory.of_domain(&domain).into_iter();
+        hosts.filter(|host| has_disk(directory, host)).collect()
+    });
+    let mut hosts = in_turn(columns.collect());
+    if hosts.is_empty() {
+        // Without any disk the log lives as long as its hosts do.
+        hosts = directory.hosts.keys().cloned().collect();
+    }
+    hosts.truncate(MAX_GLOBAL);
+    let mut founders = hosts.clone();
+    founders.truncate(GLOBAL_FOUNDERS);
+    if founders.len().is_multiple_of(2) {
+        // An even number of voters survives no more losses than one less.
+        founders.pop();
+    }
+    Seating { founders, hosts }
+}
+
+fn domain_seating(directory: &directory::Directory, domain: &id::Domain) -> Seating {
+    let mut locals = directory.of_domain(domain);
+    locals.sort_by_key(|host| !has_disk(directory, host));
+    locals.truncate(MAX_LOCALS);
+    let witnesses = witnesses(directory, domain);
+    let count = locals.len().min(LOCAL_FOUNDERS);
+    let mut founders = locals[..count].to_vec();
+    let wanted = count.saturating_sub(1);
+    founders.extend(witnesses.iter().take(wanted).cloned());
+    let mut hosts = founders.clone();
+    hosts.extend(locals.into_iter().skip(count));
+    hosts.extend(witnesses.into_iter().skip(wanted));
+    Seating { founders, hosts }
+}
+
+/// Takes witnesses from the other domains in turn, from the next one on, so that the domains
+/// share the work.
+fn witnesses(directory: &directory::Directory, domain: &id::Domain) -> Vec<id::Host> {
+    let mut domains = directory.domains();
+    let own = domains.iter().position(|other| other == domain);
+    let Some(own) = own else {
+        return Vec::new();
+    };
+    domains.rotate_left(own);
+    let others = domains.into_iter().skip(1).map(|other| {
+        let mut hosts = directory.of_domain(&other);
+        hosts.sort_by_key(|host| !has_disk(directory, host));
+        hosts
+    });
+    let mut witnesses = in_turn(others.collect());
+    witnesses.truncate(MAX_WITNESSES);
+    witnesses
+}
+
+fn has_disk(directory: &directory::Directory, host: &id::Host) -> bool {
+    directory.hosts.get(host).is_some_and(|entry| entry.disk)
+}
+
+/// Takes the first of each column, then the second of each, and so on.
+fn in_turn(columns: Vec<Vec<id::Host>>) -> Vec<id::Host> {
+    let longest = columns.iter().map(Vec::len).max().unwrap_or(0);
+    let rows = (0..longest).flat_map(|row| columns.iter().filter_map(move |c| c.get(row)));
+    rows.cloned().collect()
+}
--- /dev/null
+++ b/crates/yucca-control/src/replica.rs
@@ -0,0 +1,226 @@
+//! Runs one replica of a log: its timers, storage, messages and state machine.
+
+mod outcome;
+mod run;
+mod steward;
+pub mod storage;
+
+use std::fmt;
+use std::sync;
+
+use bytes::Bytes;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::task;
+use tokio::time;
+use yucca_log::{entry, membership, message as log_message, node};
+use yucca_wire::id;
+
+use crate::courier;
+use crate::directory;
+use crate::machine;
+use crate::message;
+use crate::version::feed;
+
+/// The most requests that wait for a replica.
+const QUEUE_REQUESTS: usize = 4096;
+
+/// A state machine that its replica and the process share.
+pub type Shared = sync::Arc<sync::Mutex<dyn machine::Machine>>;
+
+/// What a replica needs of its process.
+pub struct Parts {
+    /// The log.
+    pub log: message::Log,
+    /// The settings of the replica.
+    pub config: node::Config,
+    /// Opens the storage.
+    pub opener: Box<dyn storage::Opener>,
+    /// The state machine.
+    pub machine: Shared,
+    /// Carries messages.
+    pub courier: sync::Arc<courier::Courier>,
+    /// Is told of each new version of the table.
+    pub feed: sync::Arc<feed::Feed>,
+    /// The latest directory of hosts.
+    pub hosts: directory::Hosts,
+    /// The rule for the membership.
+    pub rule: Rule,
+}
+
+/// How the membership of a log is kept up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Rule {
+    /// A few voters, spread over the domains.
+    Spread,
+    /// Voters of this domain and one witness less in others.
+    Local(id::Domain),
+}
+
+/// What the replica knows of its log.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// The leader, where known.
+    pub leader: Option<id::Host>,
+    /// Whether this replica leads.
+    pub leads: bool,
+    /// The term.
+    pub term: entry::Term,
+    /// The newest version applied.
+    pub applied: id::Version,
+    /// The newest version known to be committed.
+    pub commit: id::Version,
+    /// The newest membership known.
+    pub members: membership::Members,
+    /// Whether this replica is a member.
+    pub member: bool,
+    /// What stops the replica, where its storage failed.
+    pub fault: Option<String>,
+}
+
+/// Why a proposal or read has no result.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// The replica refused it.
+    Refused(node::Refusal),
+    /// The replica has stopped.
+    Stopped,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused(refusal) => refusal.fmt(f),
+            Self::Stopped => f.write_str("the replica has stopped; ask another control process"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// What a replica is asked.
+enum Request {
+    Message {
+        from: id::Host,
+        message: log_message::Message,
+    },
+    Propose {
+        entry: Bytes,
+        answer: oneshot::Sender<Result<message::Receipt, Error>>,
+    },
+    Read {
+        answer: oneshot::Sender<Result<id::Version, Error>>,
+    },
+    Transfer,
+}
+
+/// A running replica.
+pub struct Replica {
+    log: message::Log,
+    group: log_message::Group,
+    requests: mpsc::Sender<Request>,
+    standing: watch::Receiver<Standing>,
+    task: task::AbortHandle,
+}
+
+impl Replica {
+    /// Starts a replica.
+    ///
+    /// # Errors
+    /// Fails where the storage cannot be opened.
+    pub fn start(parts: Parts) -> Result<Self, yucca_log::storage::Error> {
+        let (requests, receiver) = mpsc::channel(QUEUE_REQUESTS);
+        let (standing, watched) = watch::channel(Standing::default());
+        let log = parts.log.clone();
+        let run = run::Run::new(parts, receiver, standing)?;
+        let task = tokio::spawn(run.run()).abort_handle();
+        Ok(Self {
+            group: log_message::Group::new(&log.to_string()),
+            log,
+            requests,
+            standing: watched,
+            task,
+        })
+    }
+
+    /// Returns the log.
+    pub fn log(&self) -> &message::Log {
+        &self.log
+    }
+
+    /// Returns the mark of the log in its messages.
+    pub fn group(&self) -> log_message::Group {
+        self.group
+    }
+
+    /// Hands in a message of another replica; it may be lost.
+    pub fn receive(&self, from: id::Host, message: log_message::Message) {
+        let request = Request::Message { from, message };
+        if self.requests.try_send(request).is_err() {
+            metrics::counter!("yucca_control_log_messages_lost_total").increment(1);
+        }
+    }
+
+    /// Has an entry committed and applied.
+    ///
+    /// # Errors
+    /// Fails where this replica does not lead or loses its quorum.
+    pub async fn propose(&self, entry: Bytes) -> Result<message::Receipt, Error> {
+        let (answer, result) = oneshot::channel();
+        let request = Request::Propose { entry, answer };
+        self.ask(request, result).await
+    }
+
+    /// Waits until the state machine holds all that was committed when this was called.
+    ///
+    /// # Errors
+    /// Fails where this replica does not lead or loses its quorum.
+    pub async fn read(&self) -> Result<id::Version, Error> {
+        let (answer, result) = oneshot::channel();
+        self.ask(Request::Read { answer }, result).await
+    }
+
+    async fn ask<T>(
+        &self,
+        request: Request,
+        result: oneshot::Receiver<Result<T, Error>>,
+    ) -> Result<T, Error> {
+        let sent = self.requests.send(request).await;
+        sent.map_err(|_| Error::Stopped)?;
+        result.await.unwrap_or(Err(Error::Stopped))
+    }
+
+    /// Returns what the replica knows of its log.
+    pub fn standing(&self) -> Standing {
+        self.standing.borrow().clone()
+    }
+
+    /// Returns a receiver that is told when the standing changes.
+    pub fn watch(&self) -> watch::Receiver<Standing> {
+        self.standing.clone()
+    }
+
+    /// Hands leadership over and waits until another leads, at most `patience`.
+    pub async fn hand_over(&self, patience: time::Duration) {
+        if !self.standing.borrow().leads {
+            return;
+        }
+        if self.requests.send(Request::Transfer).await.is_err() {
+            return;
+        }
+        let mut standing = self.standing.clone();
+        let handed = standing.wait_for(|standing| !standing.leads && standing.leader.is_some());
+        // Where it does not come to that in time, an election does it.
+        tokio::time::timeout(patience, handed).await.ok();
+    }
+
+    /// Ends at once.
+    pub fn abort(&self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for Replica {
+    fn drop(&mut self) {
+        self.abort();
+    }
+}
--- /dev/null
+++ b/crates/yucca-control/src/replica/outcome.rs
@@ -0,0 +1,134 @@
+//! Does what the core of the log asks for.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use yucca_log::{node, storage as log_storage};
+use yucca_wire::id;
+
+use crate::message;
+use crate::replica::Error;
+use crate::replica::run;
+
+impl run::Run {
+    /// Takes an input and does all that follows from it.
+    pub fn step(&mut self, input: node::Input) {
+        let mut inputs = VecDeque::from([input]);
+        let applied = self.node.applied();
+        while let Some(input) = inputs.pop_front() {
+            let now = self.now();
+            for output in self.node.step(input, now) {
+                inputs.extend(self.perform(output));
+            }
+            self.replies.clear();
+        }
+        if self.node.applied() != applied {
+            self.machine().publish(&self.parts.feed);
+        }
+        self.tell();
+    }
+
+    fn perform(&mut self, output: node::Output) -> Option<node::Input> {
+        match output {
+            node::Output::Send { to, message } => self.parts.courier.send(&to, message),
+            node::Output::Persist { sequence, records } => return self.persist(sequence, records),
+            node::Output::Apply { version, entry } => self.apply(version, &entry),
+            node::Output::Install { version, state } => self.install(version, &state),
+            node::Output::Proposed { ticket, result } => self.answer_proposal(ticket, result),
+            node::Output::ReadReady { ticket, version } => self.answer_read(ticket, Ok(version)),
+            node::Output::ReadRefused { ticket, refusal } => {
+                self.answer_read(ticket, Err(Error::Refused(refusal)));
+            }
+            node::Output::Lead { term } => self.note_lead(term),
+            node::Output::Follow { term, leader } => self.note_follow(term, leader.as_ref()),
+            node::Output::Members(members) => {
+                log::info!("log={} members: {members}", self.parts.log);
+            }
+            node::Output::TakeSnapshot { version } => {
+                let state = self.machine().save();
+                return Some(node::Input::Snapshot { version, state });
+            }
+            node::Output::Joining { replica } => {
+                let now = self.now();
+                self.joining.insert(replica, now);
+            }
+        }
+        None
+    }
+
+    fn persist(&mut self, sequence: u64, records: Vec<log_storage::Record>) -> Option<node::Input> {
+        let mut store = self.store.take()?;
+        if self.slow {
+            self.writing = Some(tokio::task::spawn_blocking(move || {
+                let result = store.append(&records);
+                run::Written {
+                    store,
+                    sequence,
+                    result,
+                }
+            }));
+            return None;
+        }
+        let result = store.append(&records);
+        self.store = Some(store);
+        match result {
+            Ok(()) => Some(node::Input::Synced { upto: sequence }),
+            Err(log_storage::Error::Full { .. }) => Some(node::Input::Full { sequence }),
+            Err(error) => {
+                self.failed = Some(error);
+                None
+            }
+        }
+    }
+
+    fn apply(&mut self, version: id::Version, entry: &[u8]) {
+        let reply = self.machine().apply(version, entry);
+        self.replies.insert(version, reply);
+    }
+
+    fn install(&mut self, version: id::Version, state: &Bytes) {
+        let restored = self.machine().restore(version, state);
+        if let Err(reason) = restored {
+            let log = &self.parts.log;
+            log::error!("log={log} version={version} snapshot does not restore: {reason}");
+            self.failed = Some(log_storage::Error::Io {
+                path: log.to_string().into(),
+                action: "restore the snapshot",
+                reason,
+            });
+        }
+    }
+
+    fn answer_proposal(&mut self, ticket: u64, result: Result<id::Version, node::Refusal>) {
+        let Some(answer) = self.proposals.swap_remove(&ticket) else {
+            return;
+        };
+        let receipt = result.map_err(Error::Refused).map(|version| {
+            let reply = self.replies.get(&version).cloned().unwrap_or_default();
+            message::Receipt { version, reply }
+        });
+        // The proposer may have gone; what is committed stays so.
+        answer.send(receipt).ok();
+    }
+
+    fn answer_read(&mut self, ticket: u64, result: Result<id::Version, Error>) {
+        if let Some(answer) = self.reads.swap_remove(&ticket) {
+            answer.send(result).ok();
+        }
+    }
+
+    fn note_lead(&mut self, term: yucca_log::entry::Term) {
+        log::info!("log={} term={term} this host leads", self.parts.log);
+        metrics::counter!("yucca_control_elections_won_total").increment(1);
+        self.leads_since = Some(self.now());
+    }
+
+    fn note_follow(&mut self, term: yucca_log::entry::Term, leader: Option<&id::Host>) {
+        self.leads_since = None;
+        let log = &self.parts.log;
+        match leader {
+            Some(leader) => log::info!("log={log} term={term} {leader} leads"),
+            None => log::info!("log={log} term={term} no leader is known"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/yucca-control/src/replica/storage.rs
@@ -0,0 +1,98 @@
+//! Opens the storage of a replica.
+
+use std::path;
+
+use rand::Rng;
+use rand::rngs;
+use yucca_log::storage::{self, file, memory};
+use yucca_wire::id;
+
+use crate::message;
+
+/// The most bytes of one log on disk.
+const QUOTA: u64 = 4 << 30;
+
+/// Storage and what it held.
+pub struct Opened {
+    /// The storage.
+    pub store: Box<dyn storage::Store>,
+    /// What it held.
+    pub recovered: storage::Recovered,
+    /// Whether an append may take as long as a disk does.
+    pub slow: bool,
+}
+
+/// Opens the storage of a replica, at the start and again after a failure.
+pub trait Opener: Send {
+    /// Opens the storage.
+    ///
+    /// # Errors
+    /// Fails where it cannot be opened.
+    fn open(&mut self) -> Result<Opened, storage::Error>;
+}
+
+/// A folder on a disk.
+#[derive(Debug)]
+pub struct Disk {
+    /// The data folder of the process.
+    pub data: path::PathBuf,
+    /// The host.
+    pub host: id::Host,
+    /// The log.
+    pub log: message::Log,
+    /// Draws the incarnations of new replicas.
+    pub incarnations: rngs::StdRng,
+}
+
+impl Disk {
+    fn open_folder(&mut self) -> Result<Opened, storage::Error> {
+        let options = file::Options {
+            host: self.host.clone(),
+            group: self.log.to_string(),
+            incarnation: self.incarnations.random(),
+            quota: QUOTA,
+        };
+        let (folder, recovered) = file::Folder::open(&self.path(), &options)?;
+        Ok(Opened {
+            store: Box::new(folder),
+            recovered,
+            slow: true,
+        })
+    }
+
+    fn path(&self) -> path::PathBuf {
+        self.data.join(self.log.to_string())
+    }
+}
+
+impl Opener for Disk {
+    /// A damaged log is set aside, and the replica comes back as a new one that holds nothing.
+    fn open(&mut self) -> Result<Opened, storage::Error> {
+        match self.open_folder() {
+            Err(error @ storage::Error::Corrupt { .. }) => {
+                log::error!("log={} storage set aside: {error}", self.log);
+                metrics::counter!("yucca_control_storage_set_aside_total").increment(1);
+                file::Folder::set_aside(&self.path())?;
+                self.open_folder()
+            }
+            opened => opened,
+        }
+    }
+}
+
+/// Nothing outlives the process; each opening starts a new replica.
+#[derive(Debug, Clone)]
+pub struct Memory {
+    /// Draws the incarnations of new replicas.
+    pub incarnations: rngs::StdRng,
+}
+
+impl Opener for Memory {
+    fn open(&mut self) -> Result<Opened, storage::Error> {
+        Ok(Opened {
+            store: Box::new(memory::Folder::new()),
+            recovered: storage::Recovered::blank(self.incarnations.random()),
+            slow: false,
+        })
+    }
+}
--- /dev/null
+++ b/crates/yucca-control/src/request.rs
@@ -0,0 +1,64 @@
+//! What lives as long as a request.
+
+mod body;
+mod entry;
+mod health;
+mod operator;
+pub mod peer;
+mod serve;
+mod status;
+mod ticket;
+mod view;
+
+use std::sync;
+
+use yucca_wire::auth;
+
+use crate::connection::listener;
+use crate::process::core;
+
+/// The most requests of operators at a time.
+const MAX_OPERATORS: usize = 128;
+
+/// The most requests of peers at a time; reports and followers are held back.
+const MAX_PEERS: usize = 8192;
+
+/// The most requests for health at a time.
+const MAX_HEALTH: usize = 64;
+
+/// The services of a process's listeners.
+pub struct Services {
+    /// For operators.
+    pub operator: listener::Service,
+    /// For control and entry processes.
+    pub peer: listener::Service,
+    /// For `/ready`, `/live` and `/metrics`.
+    pub health: listener::Service,
+}
+
+impl Services {
+    /// Returns the services that answer from `core`.
+    pub fn new(core: &sync::Arc<core::Core>) -> Self {
+        let shared = core.clone();
+        let operator = move |request| operator::answer(shared.clone(), request);
+        let shared = core.clone();
+        let peer = move |request| peer::answer(shared.clone(), request);
+        let shared = core.clone();
+        let health = move |request| health::answer(shared.clone(), request);
+        Self {
+            operator: listener::service(MAX_OPERATORS, operator),
+            peer: listener::service(MAX_PEERS, peer),
+            health: listener::service(MAX_HEALTH, health),
+        }
+    }
+}
+
+/// Tells whether a request shows the secret.
+fn admits(secret: &auth::Secret, request: &listener::Request, listener: &'static str) -> bool {
+    let header = request.headers().get(http::header::AUTHORIZATION);
+    let admitted = secret.admits(header.map(http::HeaderValue::as_bytes));
+    if !admitted {
+        metrics::counter!("yucca_control_unauthorized_total", "listener" => listener).increment(1);
+    }
+    admitted
+}
--- /dev/null
+++ b/crates/yucca-control/src/request/entry.rs
@@ -0,0 +1,73 @@
+//! Reports of entry processes, and control processes that follow this one.
+
+use std::time;
+
+use bytes::Bytes;
+use yucca_wire::report;
+
+use crate::message;
+use crate::peer;
+use crate::process::core;
+use crate::version::feed;
+
+/// How long the domain's leader is looked for.
+const LEADER_PATIENCE: time::Duration = time::Duration::from_millis(500);
+
+impl core::Core {
+    /// Passes a report on to the domain's leader and answers with what is newer.
+    ///
+    /// A report that the leader did not hear is refused, so that the entry process sends what it
+    /// told again.
+    pub(super) async fn answer_report(&self, frame: &[u8]) -> Result<Bytes, peer::Refusal> {
+        let report: report::Report = self.decode(frame)?;
+        let known = feed::Known {
+            global: report.global,
+            locals: report.locals.clone(),
+        };
+        let hear = message::Hear {
+            domain: self.settings.domain.clone(),
+            report,
+        };
+        let heard = self.take(hear, LEADER_PATIENCE).await;
+        let leased = match heard {
+            Some(message::Heard::Yes { leased }) => leased,
+            _ => {
+                metrics::counter!("yucca_control_reports_unheard_total").increment(1);
+                let domain = &self.settings.domain;
+                let reason = format!(
+                    "domain {domain} has no leader that can be reached from here; report again"
+                );
+                return Err(peer::Refusal::Unavailable { reason });
+            }
+        };
+        let mut update = self
+            .feed
+            .wait(&known, self.settings.timing.heartbeat.0)
+            .await;
+        update.leased = leased;
+        self.encode(&update)
+    }
+
+    /// Answers a control process that follows this one.
+    pub(super) async fn answer_follow(&self, frame: &[u8]) -> Result<Bytes, peer::Refusal> {
+        let follow: message::Follow = self.open::<message::Follow>(frame)?.body;
+        let known = feed::Known {
+            global: follow.global,
+            locals: follow.locals,
+        };
+        let patience = self.settings.timing.heartbeat.0;
+        // A process that is not ready has nobody wait for it.
+        let patience = if self.ready.is_current() {
+            patience
+        } else {
+            patience / 4
+        };
+        let update = self.feed.wait(&known, patience).await;
+        let log = message::Log::Domain(self.settings.domain.clone());
+        self.encode(&message::Followed {
+            update,
+            current: self.ready.is_current(),
+            leader: self.leader_hint(&log),
+        })
+    }
+}
--- /dev/null
+++ b/crates/yucca-control/src/request/serve.rs
@@ -0,0 +1,163 @@
+//! Answers that only the leader of a log gives.
+
+use serde_json::json;
+use yucca_own::global;
+use yucca_wire::id;
+
+use crate::message::{self, Answered, Heard, Log, Proposed};
+use crate::process::core;
+use crate::process::lead::lock;
+use crate::process::seat;
+use crate::replica;
+use crate::request::view;
+
+impl core::Core {
+    /// Has an entry committed, if this host leads the log.
+    pub async fn serve_propose(&self, propose: message::Propose) -> Proposed {
+        match &propose.log {
+            Log::Global => match self.global() {
+                Some(seat) => self.propose_global(&seat, propose.entry).await,
+                None => Proposed::NotLeader(None),
+            },
+            Log::Domain(domain) => match self.domain(domain) {
+                Some(seat) => proposed(seat.replica.propose(propose.entry).await),
+                None => Proposed::NotLeader(None),
+            },
+        }
+    }
+
+    async fn propose_global(&self, seat: &seat::Global, entry: bytes::Bytes) -> Proposed {
+        let standing = seat.replica.standing();
+        if !standing.leads {
+            return Proposed::NotLeader(standing.leader);
+        }
+        let command = match rmp_serde::from_slice::<global::Command>(&entry) {
+            Ok(command) => command,
+            Err(error) => return Proposed::Unknown(error.to_string()),
+        };
+        if let Some(domain) = sender(&command) {
+            lock(&seat.evidence).hear(domain, self.now());
+        }
+        let idle = {
+            let machine = lock(&seat.machine);
+            (!machine.state.needs(&command)).then_some(machine.version)
+        };
+        if let Some(version) = idle {
+            let reply = crate::machine::pack(&global::Reply::Done);
+            return Proposed::Applied(message::Receipt { version, reply });
+        }
+        proposed(seat.replica.propose(entry).await)
+    }
+
+    /// Takes in a report, if this host leads the domain, and tells whether its host's lease runs
+    /// anew. Only a leader that a quorum confirms after the report came may say so.
+    pub async fn serve_hear(&self, hear: message::Hear) -> Heard {
+        let Some(seat) = self.domain(&hear.domain) else {
+            return Heard::NotLeader(None);
+        };
+        let standing = seat.replica.standing();
+        if !standing.leads {
+            return Heard::NotLeader(standing.leader);
+        }
+        let now = self.now();
+        lock(&seat.evidence).hear(&hear.report, now);
+        let seen = seat::Host::new(&hear.report, now);
+        lock(&seat.hosts).insert(hear.report.host.clone(), seen);
+        if seat.replica.read().await.is_err() {
+            return Heard::NotLeader(None);
+        }
+        let evidence = lock(&seat.evidence);
+        let machine = lock(&seat.machine);
+        Heard::Yes {
+            leased: evidence.may_lease(&machine.state, &hear.report.host),
+        }
+    }
+
+    /// Answers a question about what this host knows as leader.
+    pub async fn serve_question(&self, question: message::Question) -> Answered {
+        match question {
+            message::Question::Tickets => self.read_global(view::tickets).await,
+            message::Question::Ticket(number) => {
+                self.read_global(|state| view::ticket(state, number)).await
+            }
+            message::Question::Hosts(domain) => self.tell_hosts(&domain),
+            message::Question::Logs => Answered::Json(self.logs().to_string()),
+        }
+    }
+
+    async fn read_global(
+        &self,
+        view: impl FnOnce(&global::State) -> serde_json::Value,
+    ) -> Answered {
+        let Some(seat) = self.global() else {
+            return Answered::NotLeader(None);
+        };
+        let standing = seat.replica.standing();
+        if !standing.leads {
+            return Answered::NotLeader(standing.leader);
+        }
+        match seat.replica.read().await {
+            Ok(_) => Answered::Json(view(&lock(&seat.machine).state).to_string()),
+            Err(error) => Answered::Unknown(error.to_string()),
+        }
+    }
+
+    fn tell_hosts(&self, domain: &id::Domain) -> Answered {
+        let Some(seat) = self.domain(domain) else {
+            return Answered::NotLeader(None);
+        };
+        let standing = seat.replica.standing();
+        if !standing.leads {
+            return Answered::NotLeader(standing.leader);
+        }
+        let now = self.now();
+        let hosts = lock(&seat.hosts);
+        let hosts = hosts.iter().map(|(name, host)| {
+            let value = json!({
+                "heard_ms_ago": now.saturating_sub(host.heard).as_millis() as u64,
+                "incarnation": host.incarnation,
+                "global": host.global,
+                "locals": host.locals,
+            });
+            (name.to_string(), value)
+        });
+        let hosts: serde_json::Map<String, serde_json::Value> = hosts.collect();
+        Answered::Json(serde_json::Value::Object(hosts).to_string())
+    }
+
+    /// Returns what this host knows of the logs that it takes part in.
+    pub fn logs(&self) -> serde_json::Value {
+        let mut logs = serde_json::Map::new();
+        if let Some(seat) = self.global() {
+            logs.insert(
+                Log::Global.to_string(),
+                view::standing(&seat.replica.standing()),
+            );
+        }
+        for seat in self.domains() {
+            let log = seat.replica.log().to_string();
+            logs.insert(log, view::standing(&seat.replica.standing()));
+        }
+        serde_json::Value::Object(logs)
+    }
+}
+
+fn proposed(result: Result<message::Receipt, replica::Error>) -> Proposed {
+    match result {
+        Ok(receipt) => Proposed::Applied(receipt),
+        Err(replica::Error::Refused(yucca_log::node::Refusal::NotLeader { leader })) => {
+            Proposed::NotLeader(leader)
+        }
+        Err(error) => Proposed::Unknown(error.to_string()),
+    }
+}
+
+/// Returns the domain whose leader proposes a command.
+fn sender(command: &global::Command) -> Option<&id::Domain> {
+    match command {
+        global::Command::Capacity { domain, .. }
+        | global::Command::Renew { domain, .. }
+        | global::Command::Released { domain, .. } => Some(domain),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/yucca-control/src/version.rs
@@ -0,0 +1,4 @@
+//! What lives as long as a version of the table.
+
+pub mod feed;
+pub mod history;
--- /dev/null
+++ b/crates/yucca-control/src/version/feed.rs
@@ -0,0 +1,180 @@
+//! The newest table that this process knows, and the news for those who know less.
+
+use std::sync;
+use std::time;
+
+use indexmap::IndexMap;
+use tokio::sync::watch;
+use yucca_wire::{id, report, table};
+
+use crate::version::history;
+
+/// The newest known parts of the table. Versions only rise, whatever order parts arrive in.
+#[derive(Debug)]
+pub struct Feed {
+    parts: sync::Mutex<Parts>,
+    news: watch::Sender<u64>,
+}
+
+#[derive(Debug, Default)]
+struct Parts {
+    global: history::History<table::Global>,
+    locals: IndexMap<id::Domain, history::History<table::Local>>,
+}
+
+/// The versions that somebody knows.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Known {
+    /// The global version.
+    pub global: id::Version,
+    /// The domain versions.
+    pub locals: IndexMap<id::Domain, id::Version>,
+}
+
+impl Default for Feed {
+    fn default() -> Self {
+        Self {
+            parts: sync::Mutex::default(),
+            news: watch::Sender::new(0),
+        }
+    }
+}
+
+impl Feed {
+    fn lock(&self) -> sync::MutexGuard<'_, Parts> {
+        self.parts
+            .lock()
+            .unwrap_or_else(sync::PoisonError::into_inner)
+    }
+
+    /// Takes a global part in where it is newer; tells whether it was.
+    pub fn offer_global(&self, part: sync::Arc<table::Global>) -> bool {
+        let newer = self.lock().global.offer(part);
+        self.announce(newer)
+    }
+
+    /// Takes a domain's part in where it is newer; tells whether it was.
+    pub fn offer_local(&self, part: sync::Arc<table::Local>) -> bool {
+        let mut parts = self.lock();
+        let history = parts.locals.entry(part.domain.clone()).or_default();
+        let newer = history.offer(part);
+        drop(parts);
+        self.announce(newer)
+    }
+
+    fn announce(&self, newer: bool) -> bool {
+        if newer {
+            self.news.send_modify(|count| *count += 1);
+        }
+        newer
+    }
+
+    /// Takes in what another process knows; tells whether anything was newer.
+    pub fn merge(&self, update: report::Update) -> bool {
+        let mut newer = false;
+        let mut parts = self.lock();
+        if let Some(change) = update.global {
+            newer |= merge_part(&mut parts.global, change);
+        }
+        for change in update.locals {
+            let domain = domain_of(&change).clone();
+            newer |= merge_part(parts.locals.entry(domain).or_default(), change);
+        }
+        drop(parts);
+        self.announce(newer)
+    }
+
+    /// Returns the table.
+    pub fn table(&self) -> table::Table {
+        let parts = self.lock();
+        let mut locals = IndexMap::new();
+        for (domain, history) in &parts.locals {
+            if let Some(part) = history.newest() {
+                locals.insert(domain.clone(), part.clone());
+            }
+        }
+        table::Table {
+            global: parts.global.newest().cloned().unwrap_or_default(),
+            locals,
+        }
+    }
+
+    /// Returns the newest global part.
+    pub fn global(&self) -> sync::Arc<table::Global> {
+        self.lock().global.newest().cloned().unwrap_or_default()
+    }
+
+    /// Returns the newest part of a domain.
+    pub fn local(&self, domain: &id::Domain) -> Option<sync::Arc<table::Local>> {
+        self.lock().locals.get(domain)?.newest().cloned()
+    }
+
+    /// Returns the versions known here.
+    pub fn known(&self) -> Known {
+        let parts = self.lock();
+        let versions = parts.locals.iter();
+        Known {
+            global: parts.global.version(),
+            locals: versions
+                .map(|(domain, history)| (domain.clone(), history.version()))
+                .collect(),
+        }
+    }
+
+    /// Returns what is newer than what somebody knows.
+    pub fn since(&self, known: &Known) -> report::Update {
+        let parts = self.lock();
+        let locals = parts.locals.iter().filter_map(|(domain, history)| {
+            let version = known.locals.get(domain).copied().unwrap_or_default();
+            history.since(version)
+        });
+        report::Update {
+            global: parts.global.since(known.global),
+            locals: locals.collect(),
+            leased: false,
+        }
+    }
+
+    /// Returns what is newer, as soon as something is, or nothing after `patience`.
+    pub async fn wait(&self, known: &Known, patience: time::Duration) -> report::Update {
+        let mut news = self.news.subscribe();
+        let deadline = tokio::time::Instant::now() + patience;
+        loop {
+            news.mark_unchanged();
+            let update = self.since(known);
+            if update.global.is_some() || !update.locals.is_empty() {
+                return update;
+            }
+            let changed = tokio::time::timeout_at(deadline, news.changed()).await;
+            if !matches!(changed, Ok(Ok(()))) {
+                return update;
+            }
+        }
+    }
+
+    /// Returns a receiver that is told of each piece of news.
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.news.subscribe()
+    }
+}
+
+fn merge_part<T: history::Part>(
+    history: &mut history::History<T>,
+    change: report::Change<T>,
+) -> bool {
+    let part = match change {
+        report::Change::Snapshot(part) => Some(part),
+        delta => {
+            let newest = history.newest().cloned();
+            newest.and_then(|newest| T::apply(&newest, delta))
+        }
+    };
+    part.is_some_and(|part| history.offer(sync::Arc::new(part)))
+}
+
+fn domain_of(change: &report::Change<table::Local>) -> &id::Domain {
+    match change {
+        report::Change::Snapshot(part) => &part.domain,
+        report::Change::Delta { changed, .. } => &changed.domain,
+    }
+}
