--- a/crates/yucca-entry/src/process/lanes.rs
+++ b/crates/yucca-entry/src/process/lanes.rs
@@ -17,6 +17,7 @@
 
 mod attempt;
 mod grants;
+mod kept;
 pub mod message;
 mod reconcile;
 mod runtime;
@@ -27,11 +28,16 @@
 /// The longest that lanes go without a tick.
 const TICK: Duration = Duration::from_millis(5);
 
+/// How long a stopping host waits for control to give its lanes to other hosts.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(5);
+
 /// The lanes of this host.
 #[derive(Default)]
 pub struct Lanes {
     // First in the lock order.
     open: sync::Mutex<IndexMap<id::Target, sync::Arc<runtime::Runtime>>>,
+    // Until when the lanes may send; a leaf in the lock order.
+    lease: sync::Mutex<Duration>,
     /// The ledgers kept for lanes of other hosts.
     pub standbys: standbys::Standbys,
 }
@@ -43,11 +49,29 @@
             .unwrap_or_else(|poison| poison.into_inner())
     }
 
+    /// Returns until when the lanes may send.
+    pub fn lease(&self) -> Duration {
+        *self
+            .lease
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
+
     /// Returns the lane of a target, where this host holds it.
     pub fn get(&self, target: &id::Target) -> Option<sync::Arc<runtime::Runtime>> {
         self.lock().get(target).cloned()
     }
 
+    /// Forgets a lane, unless another one of the same target replaced it.
+    fn close(&self, runtime: &sync::Arc<runtime::Runtime>) {
+        runtime.grants.close();
+        let mut open = self.lock();
+        let same = open.get(runtime.target());
+        if same.is_some_and(|same| sync::Arc::ptr_eq(same, runtime)) {
+            open.swap_remove(runtime.target());
+        }
+    }
+
     /// Returns all lanes.
     pub fn all(&self) -> Vec<sync::Arc<runtime::Runtime>> {
         self.lock().values().cloned().collect()
@@ -69,6 +93,21 @@
     runtime.run(shared, head, stream, deadline).await
 }
 
+/// Lets the lanes send until a later time.
+pub fn renew(shared: &sync::Arc<shared::Shared>, until: Duration) {
+    let lanes = &shared.lanes;
+    {
+        let mut lease = lanes
+            .lease
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner());
+        *lease = until.max(*lease);
+    }
+    for runtime in lanes.all() {
+        runtime.step(shared, lane::Input::Renew { until });
+    }
+}
+
 /// Wakes each lane when it wants to be.
 pub async fn tick(shared: sync::Arc<shared::Shared>) {
     let mut interval = time::interval(TICK);
@@ -80,6 +119,9 @@
             if runtime.wants_wake(now) {
                 runtime.step(&shared, lane::Input::Tick);
             }
+            if runtime.is_handed_over() && runtime.is_idle() {
+                shared.lanes.close(&runtime);
+            }
         }
     }
 }
@@ -93,14 +135,18 @@
     reports.collect()
 }
 
-/// Waits until no lane holds work and no caller waits.
+/// Waits until all lanes are handed over, or control had its time for it, and then until no lane
+/// holds work and no caller waits.
 pub async fn drained(shared: &sync::Arc<shared::Shared>) {
+    let handover_ends = time::Instant::now() + HANDOVER_LIMIT;
     let mut interval = time::interval(TICK);
     loop {
         interval.tick().await;
+        let lanes = shared.lanes.all();
+        let handed = lanes.is_empty() || time::Instant::now() >= handover_ends;
+        let idle = lanes.iter().all(|lane| lane.is_idle());
         let in_flight = shared.in_flight.load(sync::atomic::Ordering::Relaxed);
-        let held = shared.lanes.all().iter().any(|lane| !lane.is_idle());
-        if in_flight == 0 && !held {
+        if handed && idle && in_flight == 0 {
             return;
         }
     }
