--- a/crates/yucca-cli/src/command/settings_check.rs
+++ b/crates/yucca-cli/src/command/settings_check.rs
@@ -46,7 +46,7 @@
     })?;
     let name = path.display().to_string();
     let found = if name.ends_with("control.toml") {
-        None
+        yucca_control::settings::read(&text, &name).err()
     } else if name.ends_with("entry.toml") {
         yucca_settings::read::<yucca_entry::settings::Settings>(&text, &name).err()
     } else {
--- a/crates/yucca-control/src/process/lead.rs
+++ b/crates/yucca-control/src/process/lead.rs
@@ -158,6 +158,7 @@
         commands.push(global::Command::Renew {
             domain: state.domain().clone(),
             generation: state.generation(),
+            version: state.global().version,
         });
     }
     commands
--- a/crates/yucca-control/src/version/feed.rs
+++ b/crates/yucca-control/src/version/feed.rs
@@ -132,6 +132,8 @@
             global: parts.global.since(known.global),
             locals: locals.collect(),
             leased: false,
+            lease_us: None,
+            home_leases_us: indexmap::IndexMap::new(),
         }
     }
 
