Placement: hot keys by a short window, pins before moves; forgotten targets stay so

Cause: with one window for all, shards moved away before a pin seemed worth it, so no hot key was pinned at all; a forgotten target was announced again from old evidence.

--- a/crates/yucca-own/src/domain/evidence.rs
+++ b/crates/yucca-own/src/domain/evidence.rs
@@ -16,8 +16,10 @@
 
 /// The window of the rates of shards.
 const SHARD_WINDOW: time::Duration = time::Duration::from_secs(10);
-/// The window of the rates of hot keys.
-const KEY_WINDOW: time::Duration = time::Duration::from_secs(3);
+/// The window of the rates of hot keys; short, so that a pin comes before shards have moved.
+const KEY_WINDOW: time::Duration = time::Duration::from_millis(1500);
+/// How long a target that the state does not know is remembered after it was heard.
+const KEEP_UNKNOWN: time::Duration = time::Duration::from_secs(10);
 /// How often work is evened out.
 const BALANCE_INTERVAL: time::Duration = time::Duration::from_secs(1);
 /// The most hot keys of a service whose rates are kept.
@@ -85,11 +87,24 @@
     pub left: bool,
 }
 
+impl Target {
+    fn is_recent(&self, now: time::Duration) -> bool {
+        self.announced.is_some() && now.saturating_sub(self.heard) <= KEEP_UNKNOWN
+    }
+}
+
 /// The rates of work of one service.
 #[derive(Debug, Clone, Default)]
 pub(super) struct Rates {
     shards: IndexMap<id::Shard, Fading>,
-    keys: IndexMap<Bytes, Fading>,
+    keys: IndexMap<Bytes, Key>,
+}
+
+/// The rates of a hot key: over a short time, and over the same time as those of shards.
+#[derive(Debug, Clone, Default)]
+struct Key {
+    short: Fading,
+    long: Fading,
 }
 
 impl Rates {
@@ -99,16 +114,17 @@
         fading.map_or(0.0, |fading| fading.rate(now, SHARD_WINDOW))
     }
 
-    /// Returns the rate of a key, in slot-microseconds a second.
-    pub fn key(&self, key: &Bytes, now: time::Duration) -> f32 {
-        let fading = self.keys.get(key);
-        fading.map_or(0.0, |fading| fading.rate(now, KEY_WINDOW))
-    }
-
     /// Returns the hot keys and their rates.
     pub fn keys(&self, now: time::Duration) -> impl Iterator<Item = (&Bytes, f32)> {
         let keys = self.keys.iter();
-        keys.map(move |(key, fading)| (key, fading.rate(now, KEY_WINDOW)))
+        keys.map(move |(key, rates)| (key, rates.short.rate(now, KEY_WINDOW)))
+    }
+
+    /// Returns the part of a key's work that the rate of its shard holds, in slot-microseconds a
+    /// second.
+    pub fn key_in_shard(&self, key: &Bytes, now: time::Duration) -> f32 {
+        let rates = self.keys.get(key);
+        rates.map_or(0.0, |rates| rates.long.rate(now, SHARD_WINDOW))
     }
 
     fn add(&mut self, lane: &report::Lane, now: time::Duration) {
@@ -117,15 +133,16 @@
             fading.add(*work, now, SHARD_WINDOW);
         }
         for (key, work) in &lane.hot {
-            let fading = self.keys.entry(key.clone()).or_default();
-            fading.add(*work, now, KEY_WINDOW);
+            let rates = self.keys.entry(key.clone()).or_default();
+            rates.short.add(*work, now, KEY_WINDOW);
+            rates.long.add(*work, now, SHARD_WINDOW);
         }
         if self.keys.len() > MAX_KEYS {
             let mut rates: Vec<f32> = self.keys(now).map(|(_, rate)| rate).collect();
             rates.sort_by(f32::total_cmp);
             let least = rates[rates.len() - MAX_KEYS / 2];
             self.keys
-                .retain(|_, fading| fading.rate(now, KEY_WINDOW) >= least);
+                .retain(|_, rates| rates.short.rate(now, KEY_WINDOW) >= least);
         }
     }
 }
@@ -173,7 +190,7 @@
         }
         let table = &state.table;
         self.targets
-            .retain(|name, seen| seen.announced.is_some() || table.targets.contains_key(name));
+            .retain(|name, seen| table.targets.contains_key(name) || seen.is_recent(now));
         for (name, seen) in &mut self.targets {
             let Some(target) = table.targets.get(name) else {
                 seen.released.clear();
--- a/crates/yucca-own/src/domain/plan/health.rs
+++ b/crates/yucca-own/src/domain/plan/health.rs
@@ -29,7 +29,9 @@
 ) {
     for (name, seen) in &evidence.targets {
         let known = state.table.targets.get(name);
-        if let Some(announced) = seen.announced.as_ref().filter(|a| is_news(state, known, a)) {
+        let fresh = now.saturating_sub(seen.heard) <= FRESH;
+        let announced = seen.announced.as_ref().filter(|_| fresh);
+        if let Some(announced) = announced.filter(|a| is_news(state, known, a)) {
             commands.push(Command::Announce(announced.clone()));
             continue;
         }
--- a/crates/yucca-own/src/domain/plan/loads.rs
+++ b/crates/yucca-own/src/domain/plan/loads.rs
@@ -43,8 +43,9 @@
     pub targets: Vec<Load>,
     evidence: &'a Evidence,
     rates: Option<&'a Rates>,
-    /// The work of the pinned keys of each shard, which its owner does not do.
-    pinned: IndexMap<id::Shard, f32>,
+    /// What the work of each shard differs from its rate: less the pinned keys, which its owner
+    /// does not do, and more the keys that have just turned hot.
+    corrections: IndexMap<id::Shard, f32>,
     now: time::Duration,
 }
 
@@ -69,10 +70,10 @@
             targets: targets.collect(),
             evidence,
             rates: evidence.rates.get(service),
-            pinned: IndexMap::new(),
+            corrections: IndexMap::new(),
             now,
         };
-        loads.add_pins(state, service);
+        loads.add_keys(state, service);
         for index in 0..loads.targets.len() {
             let owned = evidence.owned(&loads.targets[index].target);
             let work: f32 = owned.map(|shard| loads.shard(shard)).sum();
@@ -88,18 +89,28 @@
         loads
     }
 
-    /// Counts the work of pinned keys for their owners, and not for those of their shards.
-    fn add_pins(&mut self, state: &State, service: &id::Service) {
+    /// Counts the work of pinned keys for their owners and not for those of their shards, and that
+    /// of other hot keys by its rate over a short time.
+    fn add_keys(&mut self, state: &State, service: &id::Service) {
+        let Some(rates) = self.rates else {
+            return;
+        };
         let pins = state.table.pins.get(service);
-        for (key, owner) in pins.into_iter().flatten() {
+        for (key, work) in rates.keys(self.now) {
             let Some(shard) = state.shard_of(service, key) else {
                 continue;
             };
-            let work = self.key(key);
-            let known = state.pins.get(service).and_then(|pins| pins.get(key));
-            let to = known.and_then(|known| known.to.as_ref());
-            *self.pinned.entry(shard).or_insert(0.0) += work;
-            self.add(to.unwrap_or(&owner.target), work);
+            let counted = rates.key_in_shard(key, self.now);
+            let correction = self.corrections.entry(shard).or_insert(0.0);
+            match pins.and_then(|pins| pins.get(key)) {
+                Some(owner) => {
+                    *correction -= counted;
+                    let known = state.pins.get(service).and_then(|pins| pins.get(key));
+                    let to = known.and_then(|known| known.to.as_ref());
+                    self.add(to.unwrap_or(&owner.target), work);
+                }
+                None => *correction += work - counted,
+            }
         }
     }
 
@@ -112,13 +123,14 @@
     /// second.
     pub fn shard(&self, shard: id::Shard) -> f32 {
         let rate = self.rates.map_or(0.0, |rates| rates.shard(shard, self.now));
-        let pinned = self.pinned.get(&shard).copied().unwrap_or(0.0);
-        (rate - pinned).max(0.0) + SHARD_BASE
+        let correction = self.corrections.get(&shard).copied().unwrap_or(0.0);
+        (rate + correction).max(0.0) + SHARD_BASE
     }
 
-    /// Returns the work of a key, in slot-microseconds a second.
+    /// Returns the work of a key over a longer time, in slot-microseconds a second.
     pub fn key(&self, key: &Bytes) -> f32 {
-        self.rates.map_or(0.0, |rates| rates.key(key, self.now))
+        let rates = self.rates;
+        rates.map_or(0.0, |rates| rates.key_in_shard(key, self.now))
     }
 
     /// Returns the keys with at least this work.
--- a/crates/yucca-own/src/domain/plan/placement.rs
+++ b/crates/yucca-own/src/domain/plan/placement.rs
@@ -44,9 +44,12 @@
         loads,
         shifts: Vec::new(),
     };
-    planner.pin_hot(commands);
+    let pinned = planner.pin_hot(commands);
     planner.unpin_cold(commands);
-    planner.even();
+    if pinned == 0 {
+        // Shards move only when no pin helps.
+        planner.even();
+    }
     let shifts = planner.shifts;
     if !shifts.is_empty() {
         commands.push(Command::Move {
@@ -64,22 +67,24 @@
 }
 
 impl Planner<'_, '_> {
-    /// Gives hot keys of loaded targets an owner of their own.
-    fn pin_hot(&mut self, commands: &mut Vec<Command>) {
+    /// Gives hot keys of loaded targets an owner of their own, and tells how many.
+    fn pin_hot(&mut self, commands: &mut Vec<Command>) -> usize {
         let mean_work = self.loads.mean_work();
         let held = self.state.pins.get(self.service).map_or(0, IndexMap::len);
-        let mut room = MAX_PINS.saturating_sub(held);
+        let room = MAX_PINS.saturating_sub(held);
+        let mut pinned = 0;
         let mut hot: Vec<(Bytes, f32)> = self.loads.hot(HOT * mean_work);
         hot.sort_by(|a, b| b.1.total_cmp(&a.1));
         for (key, work) in hot {
-            if room == 0 {
-                return;
+            if pinned == room {
+                break;
             }
             if let Some(pin) = self.pin_for(&key, work) {
                 commands.push(Command::Pin(pin));
-                room -= 1;
+                pinned += 1;
             }
         }
+        pinned
     }
 
     fn pin_for(&mut self, key: &Bytes, work: f32) -> Option<Pin> {
