--- a/crates/yucca-entry/src/process/lanes.rs
+++ b/crates/yucca-entry/src/process/lanes.rs
@@ -18,6 +18,7 @@
 mod attempt;
 mod grants;
 mod kept;
+mod leases;
 pub mod message;
 mod reconcile;
 mod runtime;
@@ -36,8 +37,8 @@
 pub struct Lanes {
     // First in the lock order.
     open: sync::Mutex<IndexMap<id::Target, sync::Arc<runtime::Runtime>>>,
-    // Until when the lanes may send; a leaf in the lock order.
-    lease: sync::Mutex<Duration>,
+    // A leaf in the lock order.
+    leases: sync::Mutex<leases::Leases>,
     /// The ledgers kept for lanes of other hosts.
     pub standbys: standbys::Standbys,
 }
@@ -49,10 +50,13 @@
             .unwrap_or_else(|poison| poison.into_inner())
     }
 
-    /// Returns until when the lanes may send.
-    pub fn lease(&self) -> Duration {
-        *self
-            .lease
+    /// Returns until when the lanes of a service may send.
+    pub fn lease(&self, service: &id::Service) -> Duration {
+        self.lock_leases().until(service)
+    }
+
+    fn lock_leases(&self) -> sync::MutexGuard<'_, leases::Leases> {
+        self.leases
             .lock()
             .unwrap_or_else(|poison| poison.into_inner())
     }
@@ -93,17 +97,13 @@
     runtime.run(shared, head, stream, deadline).await
 }
 
-/// Lets the lanes send until a later time.
-pub fn renew(shared: &sync::Arc<shared::Shared>, until: Duration) {
-    let lanes = &shared.lanes;
-    {
-        let mut lease = lanes
-            .lease
-            .lock()
-            .unwrap_or_else(|poison| poison.into_inner());
-        *lease = until.max(*lease);
+/// Takes in the leases that control gave for a report sent at `sent`.
+pub fn renew(shared: &sync::Arc<shared::Shared>, update: &report::Update, sent: Duration) {
+    if !shared.lanes.lock_leases().take_in(update, sent) {
+        return;
     }
-    for runtime in lanes.all() {
+    for runtime in shared.lanes.all() {
+        let until = shared.lanes.lease(runtime.service());
         runtime.step(shared, lane::Input::Renew { until });
     }
 }
--- a/crates/yucca-entry/src/process/lanes/reconcile.rs
+++ b/crates/yucca-entry/src/process/lanes/reconcile.rs
@@ -156,7 +156,7 @@
     };
     let config = lane::Config {
         blind: earlier.is_some(),
-        lease: Some(shared.lanes.lease()),
+        lease: Some(shared.lanes.lease(&target.service)),
         ..config
     };
     let lane = lane::Lane::new(config.clone(), shared.now());
--- a/crates/yucca-entry/src/process/lanes/runtime.rs
+++ b/crates/yucca-entry/src/process/lanes/runtime.rs
@@ -30,6 +30,7 @@
 /// One lane at work.
 pub struct Runtime {
     target: id::Target,
+    service: id::Service,
     token: id::Token,
     shards: Option<u32>,
     /// The connections to the target.
@@ -97,6 +98,7 @@
     ) -> Self {
         Self {
             target: target.clone(),
+            service: found.service.clone(),
             token: found.token,
             shards,
             pool: pool::Pool::new(found.address, found.slots.0),
@@ -120,6 +122,11 @@
         &self.target
     }
 
+    /// Returns the target's service.
+    pub fn service(&self) -> &id::Service {
+        &self.service
+    }
+
     /// Returns the fencing token of the lane.
     pub fn token(&self) -> id::Token {
         self.token
--- a/crates/yucca-entry/src/version/sync.rs
+++ b/crates/yucca-entry/src/version/sync.rs
@@ -8,7 +8,6 @@
 use http_body_util::BodyExt;
 use tokio::time;
 use yucca_own::delta;
-use yucca_own::lease;
 use yucca_wire::codec;
 use yucca_wire::report;
 use yucca_wire::table;
@@ -133,11 +132,7 @@
 }
 
 fn take_in(shared: &sync::Arc<shared::Shared>, update: report::Update, sent: Duration) -> Standing {
-    if update.leased {
-        // Counted from when the report was sent: control heard it later, so its own count ends
-        // later.
-        lanes::renew(shared, sent + lease::holder(lease::HOST));
-    }
+    lanes::renew(shared, &update, sent);
     let earlier = shared.current.load();
     let Ok((global, locals)) = apply(&earlier.table, update) else {
         metrics::counter!("yucca_deltas_refused_total").increment(1);
