--- /dev/null
+++ b/crates/yucca-entry/src/process/callers.rs
@@ -0,0 +1,88 @@
+//! The listener of callers.
+
+use std::sync;
+use std::sync::atomic;
+use std::time::Duration;
+
+use http_body_util::BodyExt;
+use tokio::time;
+use yucca_wire::id;
+use yucca_wire::problem;
+use yucca_wire::table;
+
+use crate::process::shared;
+use crate::request::answer;
+use crate::request::body;
+use crate::request::forward;
+use crate::request::measure;
+use crate::request::parse;
+use crate::version::view;
+
+/// Counts a request in flight until it is dropped.
+struct InFlight(sync::Arc<shared::Shared>);
+
+impl InFlight {
+    fn begin(shared: &sync::Arc<shared::Shared>) -> Self {
+        shared.in_flight.fetch_add(1, atomic::Ordering::Relaxed);
+        Self(sync::Arc::clone(shared))
+    }
+}
+
+impl InFlight {
+    fn pass<T>(&self, frame: T) -> T {
+        frame
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, atomic::Ordering::Relaxed);
+    }
+}
+
+/// Answers one request of a caller.
+pub async fn serve(
+    shared: sync::Arc<shared::Shared>,
+    request: http::Request<hyper::body::Incoming>,
+) -> http::Response<body::Stream> {
+    let limit = shared.settings.request_limit as usize;
+    if shared.in_flight.load(atomic::Ordering::Relaxed) >= limit {
+        let detail = format!("{limit} requests are in flight at this host");
+        let problem = problem::Problem::not_run(problem::Kind::Shed, detail)
+            .retry_after(yucca_wire::unit::Span::from_millis(1000));
+        return answer::refused(&problem, None);
+    }
+    let counted = InFlight::begin(&shared);
+    let (parts, incoming) = request.into_parts();
+    let view = shared.current.load();
+    let read = match parse::read(&view, &parts) {
+        Ok(read) => read,
+        Err(problem) => return answer::refused(&problem, None),
+    };
+    let service = read.service.clone();
+    let class = read.class;
+    let objective = objective(&view, &service, class);
+    drop(view);
+    let began = time::Instant::now();
+    let stream = body::incoming(incoming, read.body_limit);
+    let answer = forward::run(&shared, read, &parts, stream).await;
+    measure::count(
+        &service,
+        class,
+        &answer.head.verdict,
+        began.elapsed(),
+        objective,
+    );
+    // The request is in flight until the caller has the last byte of the answer.
+    answer.into_response(&service).map(|stream| {
+        stream
+            .map_frame(move |frame| counted.pass(frame))
+            .boxed_unsync()
+    })
+}
+
+/// Returns the latency that a service promises for a class.
+fn objective(view: &view::View, service: &id::Service, class: table::Class) -> Option<Duration> {
+    let service = view.table.global.services.get(service)?;
+    Some(service.objectives.get(&class)?.latency.0)
+}
--- /dev/null
+++ b/crates/yucca-entry/src/process/lanes.rs
@@ -0,0 +1,153 @@
+//! The lanes that this host holds, and the ledgers that it keeps as a standby.
+
+use std::sync;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::time;
+use yucca_lane::lane;
+use yucca_wire::head;
+use yucca_wire::id;
+use yucca_wire::report;
+
+use crate::process::peer;
+use crate::process::shared;
+use crate::request::answer;
+use crate::request::body;
+
+mod attempt;
+mod grants;
+mod kept;
+mod leases;
+pub mod message;
+mod reconcile;
+mod runtime;
+pub mod standbys;
+
+pub use reconcile::reconcile;
+
+/// The longest that lanes go without a tick.
+const TICK: Duration = Duration::from_millis(5);
+
+/// How long a stopping host waits for control to give its lanes to other hosts.
+const HANDOVER_LIMIT: Duration = Duration::from_secs(5);
+
+/// The lanes of this host.
+#[derive(Default)]
+pub struct Lanes {
+    // First in the lock order.
+    open: sync::Mutex<IndexMap<id::Target, sync::Arc<runtime::Runtime>>>,
+    // A leaf in the lock order.
+    leases: sync::Mutex<leases::Leases>,
+    /// The ledgers kept for lanes of other hosts.
+    pub standbys: standbys::Standbys,
+}
+
+impl Lanes {
+    fn lock(&self) -> sync::MutexGuard<'_, IndexMap<id::Target, sync::Arc<runtime::Runtime>>> {
+        self.open
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Returns until when the lanes of a service may send.
+    pub fn lease(&self, service: &id::Service) -> Duration {
+        self.lock_leases().until(service)
+    }
+
+    fn lock_leases(&self) -> sync::MutexGuard<'_, leases::Leases> {
+        self.leases
+            .lock()
+            .unwrap_or_else(|poison| poison.into_inner())
+    }
+
+    /// Returns the lane of a target, where this host holds it.
+    pub fn get(&self, target: &id::Target) -> Option<sync::Arc<runtime::Runtime>> {
+        self.lock().get(target).cloned()
+    }
+
+    /// Forgets a lane, unless another one of the same target replaced it.
+    fn close(&self, runtime: &sync::Arc<runtime::Runtime>) {
+        runtime.grants.close();
+        let mut open = self.lock();
+        let same = open.get(runtime.target());
+        if same.is_some_and(|same| sync::Arc::ptr_eq(same, runtime)) {
+            open.swap_remove(runtime.target());
+        }
+    }
+
+    /// Returns all lanes.
+    pub fn all(&self) -> Vec<sync::Arc<runtime::Runtime>> {
+        self.lock().values().cloned().collect()
+    }
+}
+
+/// Takes a request through the lane of its target and returns the answer.
+///
+/// Dropping the future tells the lane that the caller hung up.
+pub async fn run(
+    shared: &sync::Arc<shared::Shared>,
+    head: head::Request,
+    stream: body::Stream,
+    deadline: time::Instant,
+) -> answer::Answer {
+    let Some(runtime) = shared.lanes.get(&head.target) else {
+        return peer::not_here(&head.target);
+    };
+    runtime.run(shared, head, stream, deadline).await
+}
+
+/// Takes in the leases that control gave for a report sent at `sent`.
+pub fn renew(shared: &sync::Arc<shared::Shared>, update: &report::Update, sent: Duration) {
+    if !shared.lanes.lock_leases().take_in(update, sent) {
+        return;
+    }
+    for runtime in shared.lanes.all() {
+        let until = shared.lanes.lease(runtime.service());
+        runtime.step(shared, lane::Input::Renew { until });
+    }
+}
+
+/// Wakes each lane when it wants to be.
+pub async fn tick(shared: sync::Arc<shared::Shared>) {
+    let mut interval = time::interval(TICK);
+    interval.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        interval.tick().await;
+        let now = shared.now();
+        for runtime in shared.lanes.all() {
+            if runtime.wants_wake(now) {
+                runtime.step(&shared, lane::Input::Tick);
+            }
+            if runtime.is_handed_over() && runtime.is_idle() {
+                shared.lanes.close(&runtime);
+            }
+        }
+    }
+}
+
+/// Returns what the lanes saw since the last report.
+pub fn report(shared: &sync::Arc<shared::Shared>) -> IndexMap<id::Target, report::Lane> {
+    let lanes = shared.lanes.all();
+    let reports = lanes
+        .iter()
+        .map(|lane| (lane.target().clone(), lane.report()));
+    reports.collect()
+}
+
+/// Waits until all lanes are handed over, or control had its time for it, and then until no lane
+/// holds work and no caller waits.
+pub async fn drained(shared: &sync::Arc<shared::Shared>) {
+    let handover_ends = time::Instant::now() + HANDOVER_LIMIT;
+    let mut interval = time::interval(TICK);
+    loop {
+        interval.tick().await;
+        let lanes = shared.lanes.all();
+        let handed = lanes.is_empty() || time::Instant::now() >= handover_ends;
+        let idle = lanes.iter().all(|lane| lane.is_idle());
+        let in_flight = shared.in_flight.load(sync::atomic::Ordering::Relaxed);
+        if handed && idle && in_flight == 0 {
+            return;
+        }
+    }
+}
