--- a/crates/yucca-spec/src/lib.rs
+++ b/crates/yucca-spec/src/lib.rs
@@ -1,1 +1,2 @@
 //! Under construction; see `docs/design/`.
+pub mod leave;
--- /dev/null
+++ b/crates/yucca-spec/tests/leave_takeover.rs
@@ -0,0 +1,32 @@
+//! Every history of one non-idempotent request over a takeover of its lane.
+
+#![allow(clippy::unwrap_used)]
+
+use test_case::test_case;
+use yucca_spec::leave;
+use yucca_spec::leave::{Mutant, Violation};
+
+fn search(mutant: Mutant, budget: leave::Budget) -> leave::Found {
+    let start = leave::State::new(mutant, budget).unwrap();
+    leave::search(&start)
+}
+
+#[test]
+fn no_history_breaks_a_promise() {
+    let found = search(Mutant::Sound, leave::Budget::default());
+    println!("leave to send: {} states", found.states);
+    assert!(found.counterexample.is_none(), "{found:#?}");
+    assert!(found.states > 10_000, "the search is cut short");
+}
+
+#[test_case(Mutant::LeaveSkipped, Violation::RanTwice; "leave skipped")]
+#[test_case(Mutant::LeaveAfterTakeover, Violation::LeaveAfterTakeover; "leave after takeover")]
+#[test_case(Mutant::UnknownSentAgain, Violation::RanTwice; "unknown sent again")]
+#[test_case(Mutant::LostCountsAsNotRun, Violation::NotRunRan; "lost counts as not run")]
+#[test_case(Mutant::StaleLeave, Violation::RanTwice; "stale leave")]
+fn each_mutant_is_caught(mutant: Mutant, violation: Violation) {
+    let found = search(mutant, leave::Budget::default());
+    let way = found.counterexample.unwrap();
+    println!("{mutant:?}: {violation} after {} steps", way.len() - 1);
+    assert_eq!(way.last().unwrap().violation(), Some(violation));
+}
