Lane: a target that accepts connections and never answers is silent

Cause: a frozen process still accepts connections, so a dial alone called it alive, and each request to it ran into its deadline. Change: three exchanges failed or overdue since the last answer, which is half a second old, make it silent; two seconds later one request at a time is tried until one is answered. A dial that has an exchange, as Output::Dial asks, is better still.

--- a/crates/yucca-lane/src/evidence.rs
+++ b/crates/yucca-lane/src/evidence.rs
@@ -11,6 +11,16 @@
 /// How long a dial may go without a result before another is made.
 const DIAL_PATIENCE: Duration = Duration::from_millis(400);
 
+/// How many exchanges must fail in a row for a target to count as frozen: it accepts connections
+/// and answers nothing.
+const FROZEN_FAILURES: u32 = 3;
+
+/// How long a target must not have answered to count as frozen.
+const FROZEN_SPAN: Duration = Duration::from_millis(500);
+
+/// How long a frozen target gets nothing before one request is tried.
+const TRIAL_INTERVAL: Duration = Duration::from_secs(2);
+
 /// What is known of the target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
@@ -18,7 +28,7 @@
     Alive,
     /// An exchange failed; a new connection is being tried before the target is blamed.
     Suspect,
-    /// New connections fail too; nothing is sent.
+    /// New connections fail too, or are accepted and nothing is answered; nothing is sent.
     Silent,
 }
 
@@ -29,6 +39,13 @@
     dialled: Option<Duration>,
     failures: u32,
     heard: Duration,
+    /// Exchanges that failed or are overdue since the last answer.
+    unanswered: u32,
+    answered: Duration,
+    /// Since when the target is frozen.
+    frozen: Option<Duration>,
+    /// Whether one request is tried at a time.
+    trial: bool,
 }
 
 impl Evidence {
@@ -39,12 +56,25 @@
             dialled: None,
             failures: 0,
             heard: now,
+            unanswered: 0,
+            answered: now,
+            frozen: None,
+            trial: false,
         }
     }
 
     /// Returns what is known of the target.
     pub fn state(&self) -> State {
-        self.state
+        match self.frozen {
+            Some(_) => State::Silent,
+            None => self.state,
+        }
+    }
+
+    /// Tells whether the target was frozen and has not answered since, so that one request is
+    /// tried at a time.
+    pub fn is_on_trial(&self) -> bool {
+        self.trial
     }
 
     /// Tells whether the failure of an exchange has not been explained yet.
@@ -62,12 +92,42 @@
         self.heard
     }
 
-    /// The target answered, or accepted a new connection.
+    /// The target answered a request.
+    pub fn answered(&mut self, now: Duration) {
+        self.alive(now);
+        self.unanswered = 0;
+        self.answered = now;
+        self.frozen = None;
+        self.trial = false;
+    }
+
+    /// Takes in that time passed: a target that failed often enough and long enough is frozen.
+    pub fn judge(&mut self, now: Duration) {
+        let due = self.next_judgement().is_some_and(|at| now >= at);
+        if due {
+            self.frozen = Some(now);
+            self.dialled = Some(now);
+        }
+    }
+
+    /// Returns when the target counts as frozen unless it answers before.
+    pub fn next_judgement(&self) -> Option<Duration> {
+        let failed = self.unanswered >= FROZEN_FAILURES && self.frozen.is_none();
+        failed.then_some(self.answered + FROZEN_SPAN)
+    }
+
+    /// The target accepted a new connection. A frozen one does so too, and gets a trial in time.
     pub fn alive(&mut self, now: Duration) {
         self.state = State::Alive;
         self.dialled = None;
         self.failures = 0;
         self.heard = now;
+        let frozen = self.frozen;
+        if frozen.is_some_and(|since| now >= since + TRIAL_INTERVAL) {
+            self.frozen = None;
+            self.trial = true;
+            self.unanswered = FROZEN_FAILURES - 1;
+        }
     }
 
     /// An exchange failed. Returns whether to dial anew.
@@ -78,6 +138,8 @@
 
     /// Something is odd about an exchange. Returns whether to dial anew.
     pub fn suspect(&mut self, now: Duration) -> bool {
+        self.unanswered = self.unanswered.saturating_add(1);
+        self.judge(now);
         if self.state == State::Alive {
             self.state = State::Suspect;
         }
@@ -97,10 +159,13 @@
 
     /// Returns when to dial again.
     pub fn next_dial(&self) -> Option<Duration> {
-        match self.state {
+        match self.state() {
             State::Alive => Some(self.heard.max(self.dialled.unwrap_or_default()) + IDLE_INTERVAL),
             State::Suspect => self.dialled.map(|at| at + DIAL_PATIENCE),
-            State::Silent => self.dialled.map(|at| at + DIAL_INTERVAL),
+            State::Silent => {
+                let last = self.dialled.unwrap_or_default().max(self.heard);
+                Some(last + DIAL_INTERVAL)
+            }
         }
     }
 
--- a/crates/yucca-lane/src/lane.rs
+++ b/crates/yucca-lane/src/lane.rs
@@ -186,6 +186,7 @@
         let others = [
             self.slots.next_growth(),
             self.evidence.next_dial().filter(|_| !self.is_closed()),
+            self.evidence.next_judgement(),
             self.next_attempt_event(),
             self.next_leave_event(),
             self.foreign_until,
@@ -260,7 +261,8 @@
     fn may_send(&self) -> bool {
         let leased = self.config.lease.is_none_or(|until| self.now < until);
         let silent = self.evidence.state() == evidence::State::Silent;
-        leased && !self.is_closed() && !silent && !self.evidence.is_blamed()
+        let tried = self.evidence.is_on_trial() && self.slots.held() > 0;
+        leased && !self.is_closed() && !silent && !tried && !self.evidence.is_blamed()
     }
 
     /// Tells whether the lane was handed over or taken over.
--- a/crates/yucca-lane/src/lane/dispatch.rs
+++ b/crates/yucca-lane/src/lane/dispatch.rs
@@ -26,7 +26,9 @@
             return;
         }
         self.ask_leave();
-        while let Some(id) = self.next_to_send() {
+        while self.may_send()
+            && let Some(id) = self.next_to_send()
+        {
             self.send(id);
         }
     }
--- a/crates/yucca-lane/src/lane/expire.rs
+++ b/crates/yucca-lane/src/lane/expire.rs
@@ -29,6 +29,7 @@
         self.expire_running();
         self.expire_waiting();
         self.end_drain();
+        self.evidence.judge(now);
         if !self.is_closed() && self.evidence.dial_due(now) {
             self.out.push(Output::Dial);
         }
--- a/crates/yucca-lane/src/lane/finish.rs
+++ b/crates/yucca-lane/src/lane/finish.rs
@@ -163,7 +163,7 @@
     }
 
     fn target_answered(&mut self) {
-        self.evidence.alive(self.now);
+        self.evidence.answered(self.now);
     }
 
     fn running_attempt(&mut self, id: id::Request, attempt: u32) -> Option<&mut request::Active> {
--- a/crates/yucca-lane/tests/target_evidence.rs
+++ b/crates/yucca-lane/tests/target_evidence.rs
@@ -2,9 +2,12 @@
 
 mod support;
 
+use std::time::Duration;
+
 use support::*;
 use yucca_lane::evidence;
 use yucca_lane::lane;
+use yucca_lane::request;
 use yucca_lane::request::Failure;
 use yucca_wire::problem::{Kind, Outcome};
 
@@ -74,3 +77,60 @@
     assert_eq!(tick(&mut lane, ms(5000)), [lane::Output::Dial]);
     assert!(tick(&mut lane, ms(9999)).is_empty());
 }
+
+/// Makes a target that accepts connections and answers nothing; returns the time.
+fn freeze(lane: &mut lane::Lane) -> Duration {
+    for id in 10..20 {
+        arrive(lane, read(id), ms(0));
+        answer(lane, id, ms(0));
+    }
+    for id in 1..=4 {
+        arrive(lane, read(id), ms(0));
+    }
+    for at in [50, 100, 150] {
+        tick(lane, ms(at));
+        lane.step(lane::Input::Alive, ms(at));
+    }
+    assert_eq!(lane.evidence().state(), evidence::State::Alive);
+    tick(lane, ms(500));
+    ms(500)
+}
+
+#[test]
+fn a_target_that_accepts_and_never_answers_is_silent() {
+    let mut lane = lane();
+    let now = freeze(&mut lane);
+    assert_eq!(lane.evidence().state(), evidence::State::Silent);
+    lane.step(lane::Input::Alive, now + ms(200));
+    assert_eq!(lane.evidence().state(), evidence::State::Silent);
+    assert!(sent(&arrive(&mut lane, read(30), now + ms(201))).is_empty());
+}
+
+#[test]
+fn a_frozen_target_that_answers_after_all_is_alive() {
+    let mut lane = lane();
+    let now = freeze(&mut lane);
+    answer(&mut lane, 1, now + ms(10));
+    assert_eq!(lane.evidence().state(), evidence::State::Alive);
+    assert!(!lane.evidence().is_on_trial());
+}
+
+#[test]
+fn a_frozen_target_gets_one_request_as_a_trial() {
+    let mut lane = lane();
+    freeze(&mut lane);
+    let now = ms(2600);
+    for id in 1..=3 {
+        ended(&mut lane, id, 1, Err(Failure::Lost), now);
+    }
+    lane.step(lane::Input::Alive, now);
+    let late = |id| request::Arrival {
+        deadline: now + SECOND,
+        ..read(id)
+    };
+    assert_eq!(sent(&arrive(&mut lane, late(31), now)), [31]);
+    assert!(sent(&arrive(&mut lane, late(32), now)).is_empty());
+    let outputs = answer(&mut lane, 31, now + ms(5));
+    assert_eq!(sent(&outputs), [32]);
+    assert!(!lane.evidence().is_on_trial());
+}
