Lane: each step looks only at the scopes that move

Cause: after each step every shard of the target was looked at for a release. Change: the moving scopes are kept in a set.

--- a/crates/yucca-lane/examples/bench.rs
+++ b/crates/yucca-lane/examples/bench.rs
@@ -1,6 +1,6 @@
 //! Experiments in virtual time: one target, its lane, and baselines in the same run.
 //!
-//! `cargo run --release -p yucca-lane --example bench [memory|head-of-line|fleet|crest]`
+//! `cargo run --release -p yucca-lane --example bench [memory|steps|head-of-line|fleet|crest]`
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -10,6 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_distr::Distribution;
 use yucca_lane::lane;
+use yucca_lane::owners;
 use yucca_lane::request;
 use yucca_lane::standby;
 use yucca_wire::id;
@@ -561,6 +562,61 @@
     pages * 4096.0
 }
 
+/// Arrivals and answers in turn, with three requests running and some waiting.
+fn steps() {
+    for shards in [0u32, 1000] {
+        let mut config = config();
+        config.standby = None;
+        config.single_host = true;
+        config.keyed = shards > 0;
+        let mut lane = lane::Lane::new(config, Duration::ZERO);
+        for shard in 0..shards {
+            let change = lane::Change::Grant {
+                scope: owners::Scope::Shard(id::Shard(shard)),
+                token: id::Token::default(),
+                ledger: yucca_lane::ledger::Snapshot::default(),
+            };
+            lane.step(lane::Input::Owners(change), Duration::ZERO);
+        }
+        let rounds = 300_000u64;
+        let mut sent = std::collections::VecDeque::new();
+        let started = Instant::now();
+        for round in 0..rounds {
+            let now = Duration::from_micros(1000 * round);
+            let job = Job {
+                id: round,
+                kind: Kind::Read,
+                at: now,
+                service: SHORT_MEAN,
+                deadline: now + SHORT_DEADLINE,
+            };
+            let mut arrival = arrival(&job);
+            arrival.shard = (shards > 0).then(|| id::Shard(round as u32 % shards.max(1)));
+            let mut outputs = lane.step(lane::Input::Arrive(arrival), now);
+            if round > 20 {
+                let id = sent.pop_front().unwrap_or(id::Request(0));
+                outputs.extend(lane.step(
+                    lane::Input::Answered {
+                        id,
+                        attempt: 1,
+                        result: Ok(request::Status(200)),
+                    },
+                    now,
+                ));
+            }
+            for output in outputs {
+                if let lane::Output::Send { id, .. } = output {
+                    sent.push_back(id);
+                }
+            }
+            lane.next_wake();
+        }
+        let step = started.elapsed().as_nanos() as u64 / (2 * rounds);
+        let waiting = lane.waiting();
+        println!("step: {step} ns with {shards} shards and {waiting} waiting");
+    }
+}
+
 fn memory() {
     let count = 500_000;
     let mut config = config();
@@ -612,6 +668,9 @@
     if wanted("memory") {
         memory();
     }
+    if wanted("steps") {
+        steps();
+    }
     if wanted("head-of-line") {
         head_of_line();
     }
--- a/crates/yucca-lane/src/lane/expire.rs
+++ b/crates/yucca-lane/src/lane/expire.rs
@@ -96,8 +96,10 @@
     }
 
     fn expire_running(&mut self) {
-        for id in self.running.clone() {
-            self.expire_attempt(id);
+        for at in 0..self.running.len() {
+            if let Some(id) = self.running.get(at).copied() {
+                self.expire_attempt(id);
+            }
         }
     }
 
--- a/crates/yucca-lane/src/owners.rs
+++ b/crates/yucca-lane/src/owners.rs
@@ -1,7 +1,7 @@
 //! The shards and hot keys that the lane's target owns.
 
 use bytes::Bytes;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use yucca_wire::id;
 use yucca_wire::report;
 
@@ -52,6 +52,8 @@
 pub struct Owners {
     shards: IndexMap<id::Shard, Grant>,
     pins: IndexMap<Bytes, (id::Shard, Grant)>,
+    /// The scopes whose state is [`State::Moving`], so that none need be looked for.
+    moving: IndexSet<Scope>,
 }
 
 impl Owners {
@@ -64,6 +66,7 @@
             token,
             state: State::Serving,
         };
+        self.moving.swap_remove(scope);
         match scope {
             Scope::Shard(shard) => {
                 self.shards.insert(*shard, grant);
@@ -114,10 +117,16 @@
         };
         let differs = grant.state != state;
         grant.state = state;
+        if state == State::Moving {
+            self.moving.insert(scope.clone());
+        } else {
+            self.moving.swap_remove(scope);
+        }
         differs
     }
 
     fn remove(&mut self, scope: &Scope) {
+        self.moving.swap_remove(scope);
         match scope {
             Scope::Shard(shard) => {
                 self.shards.swap_remove(shard);
@@ -150,18 +159,11 @@
 
     /// Returns the scopes that move and were not told released, with their releases.
     pub fn moving(&self) -> Vec<(Scope, report::Release)> {
-        let moving = |grant: &Grant| grant.state == State::Moving;
-        let shards = self.shards.iter().filter(|(_, grant)| moving(grant));
-        let shards = shards.map(|(shard, grant)| release(Scope::Shard(*shard), grant.token));
-        let pins = self.pins.iter().filter(|(_, (_, grant))| moving(grant));
-        let pins = pins.map(|(key, (shard, grant))| {
-            let scope = Scope::Pin {
-                shard: *shard,
-                key: key.clone(),
-            };
-            release(scope, grant.token)
+        let moving = self.moving.iter().filter_map(|scope| {
+            let grant = self.get(scope)?;
+            Some((scope.clone(), release(scope, grant.token)))
         });
-        shards.chain(pins).collect()
+        moving.collect()
     }
 
     fn get(&self, scope: &Scope) -> Option<&Grant> {
@@ -179,15 +181,14 @@
     }
 }
 
-fn release(scope: Scope, token: id::Token) -> (Scope, report::Release) {
-    let key = match &scope {
+fn release(scope: &Scope, token: id::Token) -> report::Release {
+    let key = match scope {
         Scope::Shard(_) => None,
         Scope::Pin { key, .. } => Some(key.clone()),
     };
-    let release = report::Release {
+    report::Release {
         shard: scope.shard(),
         key,
         token,
-    };
-    (scope, release)
+    }
 }
