--- a/crates/yucca-lane/src/lane.rs
+++ b/crates/yucca-lane/src/lane.rs
@@ -18,6 +18,7 @@
 use crate::slots;
 
 mod admit;
+mod callers;
 mod dispatch;
 mod expire;
 mod finish;
@@ -26,6 +27,7 @@
 mod moves;
 mod output;
 mod pace;
+mod retry;
 mod shed;
 mod takeover;
 
--- a/crates/yucca-lane/src/lane/finish.rs
+++ b/crates/yucca-lane/src/lane/finish.rs
@@ -1,21 +1,13 @@
 //! How an attempt ends and what becomes of its request.
 
-use std::time::Duration;
-
 use yucca_wire::id;
 use yucca_wire::problem;
 use yucca_wire::unit;
 
-use super::{Lane, Output, admit};
+use super::{Lane, Output};
 use crate::ledger;
 use crate::request;
 
-/// The first pause before a refused request is tried again.
-const RETRY_PAUSE: Duration = Duration::from_millis(5);
-
-/// The longest pause before a refused request is tried again.
-const MAX_RETRY_PAUSE: Duration = Duration::from_millis(200);
-
 impl Lane {
     pub(super) fn headed(&mut self, id: id::Request, attempt: u32, status: request::Status) {
         let Some(active) = self.running_attempt(id, attempt) else {
@@ -58,92 +50,6 @@
         }
     }
 
-    pub(super) fn cancel(&mut self, id: id::Request, caller: request::Caller) {
-        let Some(active) = self.requests.get_mut(&id) else {
-            return;
-        };
-        if let Some(at) = active.attached.iter().position(|one| one.caller == caller) {
-            let gone = active.attached.remove(at);
-            self.waiting_bytes = self.waiting_bytes.saturating_sub(gone.bytes);
-            return;
-        }
-        if active.arrival.caller == caller {
-            self.drop_first_caller(id);
-        }
-    }
-
-    /// Goes on with the next caller of the same id, or gives the request up where there is none.
-    pub(super) fn drop_first_caller(&mut self, id: id::Request) {
-        let next = self.next_caller(id);
-        let Some(active) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let attempt = active.attempt().copied();
-        match (attempt, next) {
-            (None, next) => {
-                let phase = active.phase;
-                self.unqueue(id);
-                self.wait_for(id, next, phase);
-            }
-            (Some(attempt), Some(next)) if !attempt.headed => {
-                self.waiting_bytes = self.waiting_bytes.saturating_sub(next.bytes);
-                active.arrival = next;
-                active.awaited = true;
-            }
-            (Some(attempt), next) => {
-                active.awaited = false;
-                if let Some(next) = next {
-                    active.attached.insert(0, next);
-                } else if !attempt.aborted {
-                    self.abort(id);
-                }
-            }
-        }
-    }
-
-    /// Takes out the next caller of an id whose deadline has not passed, and answers the others.
-    fn next_caller(&mut self, id: id::Request) -> Option<request::Arrival> {
-        loop {
-            let active = self.requests.get_mut(&id)?;
-            if active.attached.is_empty() {
-                return None;
-            }
-            let next = active.attached.remove(0);
-            if next.deadline > self.now {
-                return Some(next);
-            }
-            let doubt = active.doubt || active.attempt().is_some();
-            self.waiting_bytes = self.waiting_bytes.saturating_sub(next.bytes);
-            let detail = format!("the deadline passed at {}", self.config.target);
-            let kind = problem::Kind::DeadlineExceeded;
-            let problem = problem::Problem::not_run(kind, detail);
-            let problem = admit::doubted(problem, doubt || next.is_doubtful());
-            self.refuse(id, next.caller, problem);
-        }
-    }
-
-    /// Answers every caller of a waiting request and forgets it.
-    pub(super) fn refuse_waiting(&mut self, id: id::Request, problem: &problem::Problem) {
-        self.unqueue(id);
-        self.withdraw(id);
-        self.refuse_all(id, problem);
-    }
-
-    /// Answers every caller that still waits for a request and forgets it.
-    pub(super) fn refuse_all(&mut self, id: id::Request, problem: &problem::Problem) {
-        let Some(active) = self.requests.swap_remove(&id) else {
-            return;
-        };
-        let problem = admit::doubted(problem.clone(), active.doubt);
-        if active.awaited {
-            self.refuse(id, active.arrival.caller, problem.clone());
-        }
-        for attached in active.attached {
-            self.waiting_bytes = self.waiting_bytes.saturating_sub(attached.bytes);
-            self.refuse(id, attached.caller, problem.clone());
-        }
-    }
-
     pub(super) fn abort(&mut self, id: id::Request) {
         let attempt = self
             .requests
@@ -279,50 +185,6 @@
         self.replay_attached(id, kept);
     }
 
-    fn may_retry(&mut self, id: id::Request, failure: request::Failure) -> bool {
-        let Some(active) = self.requests.get(&id) else {
-            return false;
-        };
-        let harmless = active.arrival.idempotent || failure.not_run();
-        let wanted = active.awaited && active.attempts < self.config.retry.attempts;
-        let in_time = self.now < active.arrival.deadline;
-        if !harmless || !wanted || !in_time || self.is_closed() {
-            return false;
-        }
-        failure == request::Failure::ConnectFailed || self.budget.spend()
-    }
-
-    fn retry(&mut self, id: id::Request, failure: request::Failure) {
-        let Some(active) = self.requests.get(&id) else {
-            return;
-        };
-        let attempts = active.attempts;
-        let arrival = active.arrival.clone();
-        let room = match self.not_owned(&arrival) {
-            Some(problem) => Err(problem),
-            None => self.make_space(&arrival),
-        };
-        if let Err(problem) = room {
-            self.withdraw(id);
-            return self.refuse_all(id, &problem);
-        }
-        let phase = if self.is_held(&arrival) {
-            request::Phase::Held
-        } else if failure.not_run() {
-            let until = self.now + self.retry_pause(attempts);
-            request::Phase::Delayed(until.min(arrival.deadline))
-        } else {
-            request::Phase::Queued
-        };
-        self.requeue(id, phase);
-    }
-
-    fn retry_pause(&mut self, attempts: u32) -> Duration {
-        let doubled = RETRY_PAUSE.saturating_mul(1 << attempts.saturating_sub(1).min(6));
-        let longest = doubled.min(MAX_RETRY_PAUSE);
-        longest.mul_f64(0.5 + 0.5 * self.next_random())
-    }
-
     fn failure_problem(&self, failure: request::Failure) -> problem::Problem {
         let target = &self.config.target;
         match failure {
@@ -350,61 +212,4 @@
             }
         }
     }
-
-    fn replay_attached(&mut self, id: id::Request, kept: request::Kept) {
-        let Some(active) = self.requests.swap_remove(&id) else {
-            return;
-        };
-        for attached in active.attached {
-            self.waiting_bytes = self.waiting_bytes.saturating_sub(attached.bytes);
-            self.out.push(Output::Replay {
-                id,
-                caller: attached.caller,
-                kept,
-            });
-        }
-    }
-
-    /// Runs idempotent work again for the next caller of the same id.
-    fn run_attached(&mut self, id: id::Request) {
-        let Some(mut active) = self.requests.swap_remove(&id) else {
-            return;
-        };
-        if active.attached.is_empty() {
-            return;
-        }
-        let next = active.attached.remove(0);
-        self.waiting_bytes = self.waiting_bytes.saturating_sub(next.bytes);
-        self.arrive(next);
-        for attached in active.attached {
-            self.waiting_bytes = self.waiting_bytes.saturating_sub(attached.bytes);
-            self.arrive(attached);
-        }
-    }
-
-    /// Puts a request that is in no queue back for its next caller, or forgets it.
-    fn wait_for(&mut self, id: id::Request, next: Option<request::Arrival>, phase: request::Phase) {
-        match (next, self.requests.get_mut(&id)) {
-            (Some(next), Some(active)) => {
-                self.waiting_bytes = self.waiting_bytes.saturating_sub(next.bytes);
-                active.arrival = next;
-                active.awaited = true;
-                self.requeue(id, phase);
-            }
-            _ => {
-                self.withdraw(id);
-                self.requests.swap_remove(&id);
-            }
-        }
-    }
-
-    /// Returns the next of a fixed sequence of numbers from 0 to 1.
-    fn next_random(&mut self) -> f64 {
-        self.random = self.random.wrapping_add(0x9e37_79b9_7f4a_7c15);
-        let mut bits = self.random;
-        bits = (bits ^ (bits >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-        bits = (bits ^ (bits >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-        bits ^= bits >> 31;
-        (bits >> 11) as f64 / (1u64 << 53) as f64
-    }
 }
