Lane: long work catches up at moments without short work

When its queue is a quarter full, long work took a further slot at once; now only while no short work is in a slot.

--- a/crates/yucca-lane/src/lane/pace.rs
+++ b/crates/yucca-lane/src/lane/pace.rs
@@ -9,7 +9,8 @@
 /// How many slots are kept free for each slot that short work keeps busy on average.
 const SHORT_HEADROOM: f64 = 2.0;
 
-/// The share of the queue's bound beyond which long work gets all the slots that it may hold.
+/// The share of the queue's bound beyond which long work gets all the slots that it may hold, at
+/// moments without short work.
 const FULL_SHARE: f64 = 0.25;
 
 /// In how many places of the queue the needed pace is computed.
@@ -21,7 +22,9 @@
         let held = f64::from(self.slots.held_long());
         let spare = f64::from(self.slots.usable()) - SHORT_HEADROOM * self.short_level.average();
         let allowed = spare.max(1.0);
-        held + 1.0 <= allowed || held < self.long_pace() || self.long_is_crowded()
+        let quiet = self.slots.held() == self.slots.held_long();
+        let catches_up = quiet && self.long_is_crowded();
+        held + 1.0 <= allowed || held < self.long_pace() || catches_up
     }
 
     /// Returns how many slots long work needs to end by its deadlines.
