--- a/crates/yucca-lane/examples/bench.rs
+++ b/crates/yucca-lane/examples/bench.rs
@@ -482,7 +482,7 @@
     println!(
         "  short load | random lane: alone, with long, ratio, long done | two choices: the same | no lane, random target, fifo: alone, with long, ratio"
     );
-    let until = Duration::from_secs(120);
+    let until = Duration::from_secs(900);
     for share in [0.1, 0.2, 0.3, 0.4] {
         let alone = Mix {
             reads: share,
