Spec: restarts of the standby; a delayed copy of the ledger must not reach one

Cause: a copy of the whole ledger that arrives after the standby's restart makes it believe that it knows all, while leave was given since.

--- a/crates/yucca-spec/src/leave.rs
+++ b/crates/yucca-spec/src/leave.rs
@@ -50,10 +50,28 @@
     pub breaks: u8,
     /// Requests that the target refuses before running them.
     pub refusals: u8,
+    /// Restarts of the standby, which forgets everything.
+    pub restarts: u8,
     /// Questions to the standby that are reported as undelivered although they may still arrive.
     pub unreachable: u8,
 }
 
+impl Budget {
+    /// Returns the budget of histories in which the standby restarts.
+    pub fn with_restart() -> Self {
+        Self {
+            arrivals: 2,
+            arrivals_after: 1,
+            duplicates: 1,
+            cancels: 0,
+            breaks: 0,
+            refusals: 0,
+            restarts: 1,
+            unreachable: 0,
+        }
+    }
+}
+
 impl Default for Budget {
     fn default() -> Self {
         Self {
@@ -63,6 +81,7 @@
             cancels: 1,
             breaks: 1,
             refusals: 1,
+            restarts: 0,
             unreachable: 1,
         }
     }
@@ -83,6 +102,8 @@
     LostCountsAsNotRun,
     /// Leave for an earlier question counts for the present one.
     StaleLeave,
+    /// A restarted standby takes in messages that were sent to it before its restart.
+    MailAcrossRestart,
 }
 
 /// What went wrong.
@@ -120,6 +141,8 @@
     old: lane::Lane,
     new: Option<lane::Lane>,
     standby: standby::Standby,
+    /// How often the standby restarted.
+    incarnation: u8,
     network: Vec<Message>,
     runs: u8,
     callers: u64,
@@ -168,6 +191,7 @@
             old: lane::Lane::new(config(token(1), host())?, NOW),
             new: None,
             standby: standby::Standby::new(WINDOW, 4),
+            incarnation: 0,
             network: Vec::new(),
             runs: 0,
             callers: 0,
@@ -178,9 +202,14 @@
             text: String::new(),
         };
         state.step_lane(Side::Old, lane::Input::Tick);
+        let copy = state.network.clone();
         while let Some(message) = state.network.pop() {
             state.deliver(message);
         }
+        if budget.restarts > 0 {
+            // The first copy of the ledger may arrive once more.
+            state.network = copy;
+        }
         state.seal();
         Some(state)
     }
@@ -206,11 +235,12 @@
         self.ran.sort();
         self.not_run.sort();
         self.text = format!(
-            "{:?} {:?} {:?} {:?} {:?} {} {} {:?} {:?} {} {:?}",
+            "{:?} {:?} {:?} {:?} {} {:?} {} {} {:?} {:?} {} {:?}",
             self.budget,
             self.old,
             self.new,
             self.standby,
+            self.incarnation,
             self.network,
             self.runs,
             self.callers,
--- a/crates/yucca-spec/src/leave/message.rs
+++ b/crates/yucca-spec/src/leave/message.rs
@@ -14,8 +14,8 @@
 /// A message on its way.
 #[derive(Debug, Clone, PartialEq)]
 pub(super) enum Message {
-    /// To the standby.
-    Standby(standby::Input),
+    /// To the standby, and to which of its incarnations.
+    Standby(u8, standby::Input),
     /// To a lane.
     Lane(Side, lane::Input),
     /// A request on a connection to the target.
@@ -30,7 +30,7 @@
     /// Messages on a connection to the target are never doubled, nor are their results.
     pub(super) fn may_double(&self) -> bool {
         match self {
-            Self::Standby(_) => true,
+            Self::Standby(..) => true,
             Self::Lane(_, input) => matches!(input, lane::Input::Leave { .. }),
             Self::Target { .. } => false,
         }
--- a/crates/yucca-spec/src/leave/step.rs
+++ b/crates/yucca-spec/src/leave/step.rs
@@ -10,7 +10,7 @@
 
 use super::config::{config, host, token};
 use super::message::{Message, Side};
-use super::{DEADLINE, ID, Mutant, NOW, State, Violation};
+use super::{DEADLINE, ID, Mutant, NOW, State, Violation, WINDOW};
 
 impl State {
     pub(super) fn arrive(&mut self, side: Side) {
@@ -60,7 +60,7 @@
 
     pub(super) fn deliver(&mut self, message: Message) {
         match message {
-            Message::Standby(input) => self.step_standby(input),
+            Message::Standby(incarnation, input) => self.post(incarnation, input),
             Message::Lane(side, input) => self.step_lane(side, input),
             Message::Target {
                 side,
@@ -84,6 +84,26 @@
         }
     }
 
+    /// Delivers a message to the standby; the process refuses what was sent before its restart.
+    fn post(&mut self, incarnation: u8, input: standby::Input) {
+        let current = incarnation == self.incarnation;
+        if current || self.mutant == Mutant::MailAcrossRestart {
+            return self.step_standby(input);
+        }
+        if let standby::Input::Copy { entry, .. } = input {
+            let (id, seq) = (entry.id, entry.seq);
+            let reason = lane::Reason::NoCopy;
+            let input = lane::Input::NoLeave { id, seq, reason };
+            self.network.push(Message::Lane(Side::Old, input));
+        }
+    }
+
+    /// The standby's process restarts with nothing.
+    pub(super) fn restart_standby(&mut self) {
+        self.incarnation += 1;
+        self.standby = standby::Standby::new(WINDOW, 4);
+    }
+
     fn step_standby(&mut self, input: standby::Input) {
         let Some(output) = self.standby.step(input, NOW) else {
             return;
@@ -135,12 +155,12 @@
                     number,
                     ledger,
                 };
-                self.network.push(Message::Standby(input));
+                self.network.push(Message::Standby(self.incarnation, input));
             }
             lane::Output::Copy { entry, .. } => self.ask(token, entry),
             lane::Output::Settle { entry, .. } => {
                 let input = standby::Input::Settle { token, entry };
-                self.network.push(Message::Standby(input));
+                self.network.push(Message::Standby(self.incarnation, input));
             }
             lane::Output::Send {
                 caller, attempt, ..
@@ -167,7 +187,7 @@
         let (id, seq) = (entry.id, entry.seq);
         self.asked = seq;
         let input = standby::Input::Copy { token, entry };
-        self.network.push(Message::Standby(input));
+        self.network.push(Message::Standby(self.incarnation, input));
         if self.mutant == Mutant::LeaveSkipped {
             self.step_lane(Side::Old, lane::Input::Leave { id, seq });
         }
--- a/crates/yucca-spec/src/leave/trouble.rs
+++ b/crates/yucca-spec/src/leave/trouble.rs
@@ -73,6 +73,12 @@
             state.step_lane(Side::Old, lane::Input::Cancel { id: ID, caller });
             next.push(state);
         }
+        if self.budget.restarts > 0 && self.new.is_none() {
+            let mut state = self.clone();
+            state.budget.restarts -= 1;
+            state.restart_standby();
+            next.push(state);
+        }
         if self.budget.unreachable > 0 && self.asked > 0 {
             let mut state = self.clone();
             state.budget.unreachable -= 1;
--- a/crates/yucca-spec/tests/leave_takeover.rs
+++ b/crates/yucca-spec/tests/leave_takeover.rs
@@ -19,6 +19,23 @@
     assert!(found.states > 10_000, "the search is cut short");
 }
 
+#[test]
+fn no_history_with_a_restart_of_the_standby_breaks_a_promise() {
+    let found = search(Mutant::Sound, leave::Budget::with_restart());
+    println!("leave to send with a restart: {} states", found.states);
+    assert!(found.counterexample.is_none(), "{found:#?}");
+    assert!(found.states > 1000, "the search is cut short");
+}
+
+#[test]
+fn mail_across_a_restart_is_caught() {
+    let found = search(Mutant::MailAcrossRestart, leave::Budget::with_restart());
+    let way = found.counterexample.unwrap();
+    println!("mail across a restart: {} steps", way.len() - 1);
+    let violation = way.last().unwrap().violation();
+    assert_eq!(violation, Some(Violation::RanTwice));
+}
+
 #[test_case(Mutant::LeaveSkipped, Violation::RanTwice; "leave skipped")]
 #[test_case(Mutant::LeaveAfterTakeover, Violation::LeaveAfterTakeover; "leave after takeover")]
 #[test_case(Mutant::UnknownSentAgain, Violation::RanTwice; "unknown sent again")]
