--- a/crates/yucca-entry/src/main.rs
+++ b/crates/yucca-entry/src/main.rs
@@ -14,14 +14,16 @@
 /// Hears callers, routes their requests and holds lanes.
 ///
 /// Stops gracefully on SIGTERM and SIGINT.
+///
+/// Example: `yucca-entry --settings settings/kelani/colombo-1.entry.toml`
 #[derive(Debug, Clone, Bpaf)]
 #[bpaf(options, version)]
 struct Arguments {
     /// Print every setting with its default and meaning, and exit.
     print_defaults: bool,
     /// The settings file.
-    #[bpaf(positional("FILE"), optional)]
-    file: Option<PathBuf>,
+    #[bpaf(argument("FILE"), optional)]
+    settings: Option<PathBuf>,
 }
 
 fn main() -> process::ExitCode {
@@ -30,8 +32,8 @@
         println!("{}", defaults::print::<settings::Settings>());
         return process::ExitCode::SUCCESS;
     }
-    let Some(file) = arguments.file else {
-        eprintln!("no settings file; give one, or see --print-defaults");
+    let Some(file) = arguments.settings else {
+        eprintln!("no settings file; name one with --settings, or see --print-defaults");
         return process::ExitCode::from(2);
     };
     let settings = match read(&file) {
