Control: deltas, leases and h2 for the entry processes

Cause: entry processes call by h2 and need leases with their length; a part of version 0 led to deltas that nobody could apply. Change: the feed keeps own's history and sends deltas; Heard and Update carry the host's and the home leases; home leases are renewed with the global log; the listeners serve h1 and h2.

--- a/crates/yucca-control/src/connection/listener.rs
+++ b/crates/yucca-control/src/connection/listener.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::body;
 use hyper_util::rt;
+use hyper_util::server::conn::auto;
 use hyper_util::server::graceful;
 use tokio::sync::watch;
 use tokio::task;
@@ -136,11 +137,13 @@
     // A connection without the option still works, only with more delay.
     stream.set_nodelay(true).ok();
     let answer = hyper_util::service::TowerToHyperService::new(service.clone());
-    let connection = hyper::server::conn::http1::Builder::new()
+    let mut builder = auto::Builder::new(rt::TokioExecutor::new());
+    builder
+        .http1()
         .timer(rt::TokioTimer::new())
-        .header_read_timeout(HEAD_TIMEOUT)
-        .serve_connection(rt::TokioIo::new(stream), answer);
-    let watched = graceful.watch(connection);
+        .header_read_timeout(HEAD_TIMEOUT);
+    let connection = builder.serve_connection(rt::TokioIo::new(stream), answer);
+    let watched = graceful.watch(connection.into_owned());
     connections.spawn(async move {
         // Its end, good or bad, concerns only the other side.
         watched.await.ok();
--- a/crates/yucca-control/src/message.rs
+++ b/crates/yucca-control/src/message.rs
@@ -97,8 +97,12 @@
 pub enum Heard {
     /// The leader took it in.
     Yes {
-        /// Whether the host's lease runs anew.
-        leased: bool,
+        /// How long after it sent the report the host's lanes may send, in microseconds; none
+        /// where its lease does not run anew.
+        lease_us: Option<u64>,
+        /// How long after it sent the report the host may serve each service that moves when its
+        /// domain is cut off, in microseconds.
+        home_leases_us: IndexMap<id::Service, u64>,
     },
     /// The receiver does not lead; it follows this host.
     NotLeader(Option<id::Host>),
--- a/crates/yucca-control/src/process/lead.rs
+++ b/crates/yucca-control/src/process/lead.rs
@@ -97,7 +97,7 @@
     commands: Vec<global::Command>,
 }
 
-async fn plan_domain(core: &sync::Arc<Core>, seat: &seat::Domain, led: &mut Led) {
+async fn plan_domain(core: &sync::Arc<Core>, seat: &sync::Arc<seat::Domain>, led: &mut Led) {
     let now = core.now();
     let mut commands = {
         let mut evidence = lock(&seat.evidence);
@@ -119,7 +119,7 @@
 }
 
 /// Tells the leader of the global log what it should know of the domain.
-fn tell_upward(core: &sync::Arc<Core>, seat: &seat::Domain, led: &mut Led) {
+fn tell_upward(core: &sync::Arc<Core>, seat: &sync::Arc<seat::Domain>, led: &mut Led) {
     let now = core.now();
     let commands = upward(&lock(&seat.machine).state);
     if commands.is_empty() {
@@ -132,14 +132,12 @@
     led.told = Some(now);
     led.commands.clone_from(&commands);
     let core = core.clone();
+    let seat = seat.clone();
     tokio::spawn(async move {
-        let errands = commands.iter().map(|command| message::Propose {
-            log: message::Log::Global,
-            entry: machine::pack(command),
-        });
-        let all = errands.map(|errand| core.take(errand, UPWARD_PATIENCE));
+        let all = commands.into_iter().map(|command| propose(&core, command));
         // Without an answer it is told again.
         future::join_all(all).await;
+        renew(&core, &seat).await;
     });
 }
 
@@ -148,17 +146,35 @@
     if !state.global().domains.contains_key(state.domain()) {
         return Vec::new();
     }
-    let mut commands = state.upward();
-    let leased = state
-        .global()
-        .services
-        .values()
-        .any(|service| matches!(service.on_cut, table::Cut::MoveAfter(_)));
-    if leased {
-        commands.push(global::Command::Renew {
-            domain: state.domain().clone(),
-            generation: state.generation(),
-        });
+    state.upward()
+}
+
+/// Renews the home lease, where a service moves when its domain is cut off.
+async fn renew(core: &Core, seat: &seat::Domain) {
+    let command = {
+        let evidence = lock(&seat.evidence);
+        let machine = lock(&seat.machine);
+        let global = machine.state.global();
+        let mut services = global.services.values();
+        let leased = services.any(|service| matches!(service.on_cut, table::Cut::MoveAfter(_)));
+        leased.then(|| machine.state.renewal(&evidence))
+    };
+    let Some(command) = command else {
+        return;
+    };
+    let sent = core.now();
+    if propose(core, command).await == Some(global::Reply::Done) {
+        lock(&seat.evidence).renewed(sent);
+    }
+}
+
+async fn propose(core: &Core, command: global::Command) -> Option<global::Reply> {
+    let errand = message::Propose {
+        log: message::Log::Global,
+        entry: machine::pack(&command),
+    };
+    match core.take(errand, UPWARD_PATIENCE).await? {
+        message::Proposed::Applied(receipt) => rmp_serde::from_slice(&receipt.reply).ok(),
+        _ => None,
     }
-    commands
 }
--- a/crates/yucca-control/src/request/entry.rs
+++ b/crates/yucca-control/src/request/entry.rs
@@ -29,8 +29,11 @@
             report,
         };
         let heard = self.take(hear, LEADER_PATIENCE).await;
-        let leased = match heard {
-            Some(message::Heard::Yes { leased }) => leased,
+        let (lease_us, home_leases_us) = match heard {
+            Some(message::Heard::Yes {
+                lease_us,
+                home_leases_us,
+            }) => (lease_us, home_leases_us),
             _ => {
                 metrics::counter!("yucca_control_reports_unheard_total").increment(1);
                 let domain = &self.settings.domain;
@@ -44,7 +47,9 @@
             .feed
             .wait(&known, self.settings.timing.heartbeat.0)
             .await;
-        update.leased = leased;
+        update.leased = lease_us.is_some();
+        update.lease_us = lease_us;
+        update.home_leases_us = home_leases_us;
         self.encode(&update)
     }
 
--- a/crates/yucca-control/src/request/serve.rs
+++ b/crates/yucca-control/src/request/serve.rs
@@ -1,7 +1,9 @@
 //! Answers that only the leader of a log gives.
 
+use std::time;
+
 use serde_json::json;
-use yucca_own::global;
+use yucca_own::{global, lease};
 use yucca_wire::id;
 
 use crate::message::{self, Answered, Heard, Log, Proposed};
@@ -68,8 +70,11 @@
         }
         let evidence = lock(&seat.evidence);
         let machine = lock(&seat.machine);
+        let leased = evidence.may_lease(&machine.state, &hear.report.host);
+        let home_leases = machine.state.home_leases(&evidence, now).into_iter();
         Heard::Yes {
-            leased: evidence.may_lease(&machine.state, &hear.report.host),
+            lease_us: leased.then(|| micros(lease::holder(lease::HOST))),
+            home_leases_us: home_leases.map(|(s, left)| (s, micros(left))).collect(),
         }
     }
 
@@ -142,6 +147,10 @@
     }
 }
 
+fn micros(span: time::Duration) -> u64 {
+    u64::try_from(span.as_micros()).unwrap_or(u64::MAX)
+}
+
 fn proposed(result: Result<message::Receipt, replica::Error>) -> Proposed {
     match result {
         Ok(receipt) => Proposed::Applied(receipt),
--- a/crates/yucca-control/src/version.rs
+++ b/crates/yucca-control/src/version.rs
@@ -1,4 +1,3 @@
 //! What lives as long as a version of the table.
 
 pub mod feed;
-pub mod history;
--- a/crates/yucca-control/src/version/feed.rs
+++ b/crates/yucca-control/src/version/feed.rs
@@ -5,9 +5,11 @@
 
 use indexmap::IndexMap;
 use tokio::sync::watch;
+use yucca_own::delta;
 use yucca_wire::{id, report, table};
 
-use crate::version::history;
+/// How many versions of each part are kept to make deltas from.
+const KEPT: usize = 32;
 
 /// The newest known parts of the table. Versions only rise, whatever order parts arrive in.
 #[derive(Debug)]
@@ -16,10 +18,19 @@
     news: watch::Sender<u64>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Parts {
-    global: history::History<table::Global>,
-    locals: IndexMap<id::Domain, history::History<table::Local>>,
+    global: delta::History<table::Global>,
+    locals: IndexMap<id::Domain, delta::History<table::Local>>,
+}
+
+impl Default for Parts {
+    fn default() -> Self {
+        Self {
+            global: delta::History::new(KEPT),
+            locals: IndexMap::new(),
+        }
+    }
 }
 
 /// The versions that somebody knows.
@@ -49,15 +60,16 @@
 
     /// Takes a global part in where it is newer; tells whether it was.
     pub fn offer_global(&self, part: sync::Arc<table::Global>) -> bool {
-        let newer = self.lock().global.offer(part);
+        let newer = offer(&mut self.lock().global, part);
         self.announce(newer)
     }
 
     /// Takes a domain's part in where it is newer; tells whether it was.
     pub fn offer_local(&self, part: sync::Arc<table::Local>) -> bool {
         let mut parts = self.lock();
-        let history = parts.locals.entry(part.domain.clone()).or_default();
-        let newer = history.offer(part);
+        let domain = part.domain.clone();
+        let history = parts.locals.entry(domain).or_insert_with(new_local);
+        let newer = offer(history, part);
         drop(parts);
         self.announce(newer)
     }
@@ -78,7 +90,8 @@
         }
         for change in update.locals {
             let domain = domain_of(&change).clone();
-            newer |= merge_part(parts.locals.entry(domain).or_default(), change);
+            let history = parts.locals.entry(domain).or_insert_with(new_local);
+            newer |= merge_part(history, change);
         }
         drop(parts);
         self.announce(newer)
@@ -114,9 +127,9 @@
         let parts = self.lock();
         let versions = parts.locals.iter();
         Known {
-            global: parts.global.version(),
+            global: version(&parts.global),
             locals: versions
-                .map(|(domain, history)| (domain.clone(), history.version()))
+                .map(|(domain, history)| (domain.clone(), version(history)))
                 .collect(),
         }
     }
@@ -131,7 +144,7 @@
         report::Update {
             global: parts.global.since(known.global),
             locals: locals.collect(),
-            leased: false,
+            ..report::Update::default()
         }
     }
 
@@ -158,18 +171,38 @@
     }
 }
 
-fn merge_part<T: history::Part>(
-    history: &mut history::History<T>,
-    change: report::Change<T>,
-) -> bool {
-    let part = match change {
-        report::Change::Snapshot(part) => Some(part),
-        delta => {
-            let newest = history.newest().cloned();
-            newest.and_then(|newest| T::apply(&newest, delta))
+fn merge_part<T: delta::Part>(history: &mut delta::History<T>, change: report::Change<T>) -> bool {
+    let held = history.newest().cloned();
+    match delta::apply(held.as_deref(), change) {
+        Ok(part) => offer(history, sync::Arc::new(part)),
+        Err(error) => {
+            // The next question names the version that is held, and is answered anew.
+            metrics::counter!("yucca_control_deltas_refused_total").increment(1);
+            log::debug!("{error}");
+            false
         }
-    };
-    part.is_some_and(|part| history.offer(sync::Arc::new(part)))
+    }
+}
+
+/// Takes a part in where it is newer; tells whether it was.
+///
+/// Version 0 stands for a part that nobody has, so that no delta is made from it.
+fn offer<T: delta::Part>(history: &mut delta::History<T>, part: sync::Arc<T>) -> bool {
+    let newer = part.version() > version(history);
+    if newer {
+        history.push(part);
+    }
+    newer
+}
+
+fn version<T: delta::Part>(history: &delta::History<T>) -> id::Version {
+    history
+        .newest()
+        .map_or(id::Version(0), |part| part.version())
+}
+
+fn new_local() -> delta::History<table::Local> {
+    delta::History::new(KEPT)
 }
 
 fn domain_of(change: &report::Change<table::Local>) -> &id::Domain {
--- a/crates/yucca-control/tests/common/mod.rs
+++ b/crates/yucca-control/tests/common/mod.rs
@@ -333,7 +333,7 @@
             return false;
         };
         let update: report::Update = codec::decode(deployment, &frame).unwrap();
-        self.leased = update.leased;
+        self.leased = update.lease_us.is_some();
         self.table.merge(update);
         true
     }
