Entry: a graceful stop ends its own tasks

Cause: stop waited for the task that ticks lanes, which never ends, so the process never exited. Change: tasks are shut down once all work is done. Conclusion: a stopped process exits.

--- a/crates/yucca-entry/src/process/running.rs
+++ b/crates/yucca-entry/src/process/running.rs
@@ -227,7 +227,7 @@
             log::warn!("{left} requests were cut off at the limit of the stop");
         }
         self.shared.phase.send_replace(shared::Phase::Stopped);
-        while self.tasks.join_next().await.is_some() {}
+        self.tasks.shutdown().await;
         left
     }
 
