--- a/crates/yucca-lane/src/lane/dispatch.rs
+++ b/crates/yucca-lane/src/lane/dispatch.rs
@@ -26,7 +26,9 @@
             return;
         }
         self.ask_leave();
-        while let Some(id) = self.next_to_send() {
+        while self.may_send()
+            && let Some(id) = self.next_to_send()
+        {
             self.send(id);
         }
     }
@@ -46,7 +48,10 @@
             return Some(id);
         }
         let short = self.sendable(table::Class::Short);
-        short.or_else(|| self.sendable(table::Class::Long))
+        short.or_else(|| {
+            let paced = self.long_may_start();
+            paced.then(|| self.sendable(table::Class::Long)).flatten()
+        })
     }
 
     fn long_is_urgent(&self) -> bool {
