--- a/crates/yucca-dev/src/lib.rs
+++ b/crates/yucca-dev/src/lib.rs
@@ -2,9 +2,11 @@
 //!
 //! Nothing here is part of a deployment in use.
 
+pub mod cluster;
 pub mod deployment;
 pub mod fleet;
 pub mod journal;
+pub mod load;
 pub mod route;
 pub mod target;
 pub mod work;
