An announcement that says nothing new has no effect

Cause: the search of grants found that a repeated announcement raised the version each time. Change: apply compares it with what is known; a test sends one again.

--- a/crates/yucca-own/src/domain/apply.rs
+++ b/crates/yucca-own/src/domain/apply.rs
@@ -125,6 +125,9 @@
                 return Reply::Stale;
             }
         }
+        if self.is_known(announce) {
+            return Reply::Stale;
+        }
         let name = announce.target.clone();
         let known = self.targets.entry(name.clone()).or_default();
         known.draining = announce.draining;
@@ -154,6 +157,23 @@
         Reply::Done
     }
 
+    /// Tells whether an announcement says nothing new.
+    fn is_known(&self, announce: &Announce) -> bool {
+        let table = self.table.targets.get(&announce.target);
+        let wish = self.targets.get(&announce.target);
+        table.zip(wish).is_some_and(|(target, wish)| {
+            target.service == announce.service
+                && target.address == announce.address
+                && target.incarnation == announce.incarnation
+                && target.slots == announce.slots
+                && target.connections == announce.connections
+                && target.checks_tokens == announce.checks_tokens
+                && target.warm == announce.warm
+                && wish.draining == announce.draining
+                && wish.leaving == announce.leaving
+        })
+    }
+
     fn target_lost(&mut self, target: &id::Target, incarnation: u64) -> Reply {
         if !self.is_current(target, incarnation) {
             return Reply::Stale;
--- a/crates/yucca-own/tests/target_returns.rs
+++ b/crates/yucca-own/tests/target_returns.rs
@@ -8,6 +8,7 @@
 
 use common::{BASE, World, name};
 use indexmap::IndexMap;
+use yucca_own::domain;
 use yucca_wire::{id, table};
 
 fn world() -> World {
@@ -99,6 +100,18 @@
     assert_eq!(state(&mut world, "a-desk-0"), table::State::Serving);
 }
 
+#[test]
+fn an_announcement_that_says_nothing_new_has_no_effect() {
+    let mut world = world();
+    let now = world.now;
+    let zone = world.zone("a");
+    let is_announce = |c: &&domain::Command| matches!(c, domain::Command::Announce(_));
+    let announce = zone.applied.iter().find(is_announce).cloned();
+    let before = zone.state.clone();
+    assert_eq!(zone.propose(announce.unwrap(), now), domain::Reply::Stale);
+    assert_eq!(zone.state, before);
+}
+
 #[test]
 fn a_new_target_takes_no_reshuffle() {
     let mut world = world();
