Search of grants, moves and tickets

The real domain::State and global::State under lost, repeated and reordered reports, lapsed leases, paused sends, restarted targets and planned handovers: one shard, two targets, two hosts. Targets that check no tokens are safe as long as no host is paused between check and send.

--- /dev/null
+++ b/crates/yucca-spec/src/grant/step.rs
@@ -0,0 +1,270 @@
+//! The steps that the search may take from a state.
+
+use yucca_wire::id;
+
+use super::action::Action;
+use super::world::{HOSTS, Logs, Node, Owner, Send, Step, TARGETS, View};
+use super::{Mutant, Options};
+
+/// Takes steps from one state and collects where they lead.
+pub(super) struct Stepper<'a> {
+    pub node: &'a Node,
+    pub options: &'a Options,
+    pub logs: &'a mut Logs,
+    pub next: Vec<Node>,
+}
+
+impl Stepper<'_> {
+    /// Returns every state that one step leads to.
+    pub fn all(mut self) -> Vec<Node> {
+        self.leader_steps();
+        for host in 0..HOSTS.len() {
+            self.host_steps(host);
+        }
+        for target in 0..TARGETS.len() {
+            self.target_steps(target);
+        }
+        for report in &self.node.network {
+            self.deliver(*report);
+        }
+        self.next
+    }
+
+    fn copy(&self, step: Step) -> Node {
+        Node {
+            step,
+            ..self.node.clone()
+        }
+    }
+
+    fn view(&self) -> View {
+        self.logs.get(self.node.log).view
+    }
+
+    /// Adds the state after a command of the log, where that has an effect.
+    fn propose(&mut self, action: Action, change: impl FnOnce(&mut Node, View)) {
+        let Some(log) = self.logs.after(self.node.log, action) else {
+            return;
+        };
+        let (before, after) = (self.view(), self.logs.get(log).view);
+        let mut node = self.copy(Step::Log(action));
+        if let (Some(before), Some(after)) = (before.owner, after.owner) {
+            let changed = before.target != after.target;
+            node.fell |= after.token < before.token || (changed && after.token == before.token);
+        }
+        node.log = log;
+        change(&mut node, after);
+        self.next.push(node);
+    }
+
+    /// The leader proposes anything that its own state allows.
+    fn leader_steps(&mut self) {
+        let view = self.view();
+        if view.owner.is_some() {
+            if self.node.used.moves < self.options.moves {
+                self.propose(Action::Move, |node, _| node.used.moves += 1);
+            }
+        } else {
+            for target in 0..TARGETS.len() {
+                self.propose(Action::Own(target), |_, _| {});
+            }
+        }
+        for (target, (lane, _)) in view.lanes.into_iter().enumerate() {
+            for host in 0..HOSTS.len() {
+                match lane {
+                    Some(_) if view.standbys[target].is_none() => {
+                        self.propose(Action::Standby(target, host), |_, _| {});
+                    }
+                    Some(_) => {}
+                    None => self.propose(Action::Lane(target, host), |_, _| {}),
+                }
+            }
+            if self.node.used.yields < self.options.yields {
+                self.propose(Action::Yield(target), |node, _| node.used.yields += 1);
+            }
+        }
+        for (host, state) in self.node.hosts.iter().enumerate() {
+            if !state.leased || self.options.mutant == Some(Mutant::LeaseNotAwaited) {
+                self.propose(Action::HostLost(host), |_, _| {});
+            }
+            if !state.leased {
+                self.propose(Action::HostUp(host), |node, view| {
+                    node.hosts[host].leased = true;
+                    node.hosts[host].view = view;
+                });
+            }
+        }
+    }
+
+    fn host_steps(&mut self, host: usize) {
+        let state = self.node.hosts[host];
+        if let Some(send) = state.sending {
+            self.arrive(host, send);
+        }
+        if !state.leased {
+            return;
+        }
+        if self.view() != state.view {
+            let mut node = self.copy(Step::Host(host, "takes in the table"));
+            node.hosts[host].view = self.view();
+            self.next.push(node);
+        }
+        if self.node.used.lapses < self.options.lapses {
+            let mut node = self.copy(Step::Host(host, "loses its lease"));
+            node.hosts[host].leased = false;
+            node.used.lapses += 1;
+            self.next.push(node);
+        }
+        for target in 0..TARGETS.len() {
+            self.leave(host, target);
+        }
+        let Some(owner) = state.view.owner else {
+            return;
+        };
+        let (lane_host, lane) = state.view.lanes[owner.target];
+        if lane_host != Some(host) {
+            return;
+        }
+        if owner.moving {
+            self.release(host, owner, lane);
+        } else if owner.token > state.released {
+            self.grant(host, owner, lane);
+            self.send(host, owner, lane);
+        }
+    }
+
+    /// A lane that is to end says that it sends nothing more.
+    fn leave(&mut self, host: usize, target: usize) {
+        let state = &self.node.hosts[host];
+        let (lane_host, lane) = state.view.lanes[target];
+        let standby = state.view.standbys[target];
+        let held = lane_host.is_none() && standby.is_some_and(|standby| standby != host);
+        if !held || state.sending.is_some() || state.left[target] >= lane {
+            return;
+        }
+        let mut node = self.copy(Step::Host(host, "ended its lane"));
+        node.hosts[host].left[target] = lane;
+        post(&mut node, Action::Left { target, lane });
+        self.next.push(node);
+    }
+
+    fn is_fenced(&self, target: usize, lane: id::Token) -> bool {
+        self.checks() && lane < self.node.targets[target].fence
+    }
+
+    fn checks(&self) -> bool {
+        self.options.checks_tokens && self.options.mutant != Some(Mutant::FenceDropped)
+    }
+
+    fn grant(&mut self, host: usize, owner: Owner, lane: id::Token) {
+        let granted = self.node.targets[owner.target].granted;
+        if granted == Some(owner.token) || self.is_fenced(owner.target, lane) {
+            return;
+        }
+        let mut node = self.copy(Step::Host(host, "grants the shard"));
+        let target = &mut node.targets[owner.target];
+        target.fence = target.fence.max(lane);
+        target.granted = Some(owner.token);
+        self.next.push(node);
+    }
+
+    /// A request is checked, and arrives at once or after a pause.
+    fn send(&mut self, host: usize, owner: Owner, lane: id::Token) {
+        if self.node.hosts[host].sending.is_some() {
+            return;
+        }
+        let send = Send {
+            target: owner.target,
+            lane,
+            grant: owner.token,
+        };
+        if self.options.pauses {
+            let mut node = self.copy(Step::Host(host, "checks before it sends"));
+            node.hosts[host].sending = Some(send);
+            self.next.push(node);
+        } else {
+            self.arrive(host, send);
+        }
+    }
+
+    fn arrive(&mut self, host: usize, send: Send) {
+        let mut node = self.copy(Step::Host(host, "sends"));
+        node.hosts[host].sending = None;
+        let known = self.node.targets[send.target].granted == Some(send.grant);
+        let takes = !self.checks() || (known && !self.is_fenced(send.target, send.lane));
+        node.targets[send.target].working |= takes;
+        self.next.push(node);
+    }
+
+    /// A lane gives a grant back, once the target has said that it is done with the shard.
+    fn release(&mut self, host: usize, owner: Owner, lane: id::Token) {
+        let state = &self.node.hosts[host];
+        let awaits = self.options.mutant != Some(Mutant::RevokeNotAwaited);
+        let busy = self.node.targets[owner.target].working || state.sending.is_some();
+        if (awaits && busy) || self.is_fenced(owner.target, lane) {
+            return;
+        }
+        let report = Action::Released {
+            target: owner.target,
+            lane,
+            grant: owner.token,
+        };
+        if self.node.network.contains(&report) {
+            return;
+        }
+        let mut node = self.copy(Step::Host(host, "releases the shard"));
+        node.hosts[host].released = owner.token;
+        let target = &mut node.targets[owner.target];
+        target.fence = target.fence.max(lane);
+        target.granted = None;
+        post(&mut node, report);
+        self.next.push(node);
+    }
+
+    fn target_steps(&mut self, target: usize) {
+        if self.node.targets[target].working {
+            let mut node = self.copy(Step::Target(target, "ends its work"));
+            node.targets[target].working = false;
+            self.next.push(node);
+        }
+        if self.node.used.restarts < self.options.restarts {
+            let mut node = self.copy(Step::Target(target, "starts anew"));
+            let state = &mut node.targets[target];
+            state.incarnation += 1;
+            state.granted = None;
+            state.working = false;
+            state.fence = id::Token::default();
+            let incarnation = state.incarnation;
+            node.used.restarts += 1;
+            let report = Action::Announce {
+                target,
+                incarnation,
+            };
+            post(&mut node, report);
+            self.next.push(node);
+        }
+    }
+
+    fn deliver(&mut self, report: Action) {
+        let mut report = report;
+        if let Action::Released {
+            target,
+            lane,
+            grant,
+        } = &mut report
+            && self.options.mutant == Some(Mutant::StaleReleaseTaken)
+        {
+            let view = self.view();
+            *lane = view.lanes[*target].1;
+            let owner = view.owner.filter(|owner| owner.target == *target);
+            *grant = owner.map_or(*grant, |owner| owner.token);
+        }
+        self.propose(report, |_, _| {});
+    }
+}
+
+fn post(node: &mut Node, report: Action) {
+    if let Err(at) = node.network.binary_search(&report) {
+        node.network.insert(at, report);
+    }
+}
