A lease that was judged to have lapsed is not renewed by a report read before

Cause: the leader judged leases in plan, which keeps nothing; a report whose time was read just before and which was heard just after could renew the lease while the loss of the host was being decided. Change: Evidence::observe judges and remembers; plan only proposes. Rates have a module of their own. Conclusion: a test hears such a report; it gets no lease.

--- a/crates/yucca-own/src/domain.rs
+++ b/crates/yucca-own/src/domain.rs
@@ -7,7 +7,7 @@
 mod owners;
 mod pins;
 mod plan;
-mod seen;
+mod rates;
 
 use std::sync;
 use std::time;
--- a/crates/yucca-own/src/domain/evidence.rs
+++ b/crates/yucca-own/src/domain/evidence.rs
@@ -3,27 +3,20 @@
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
 use indexmap::{IndexMap, IndexSet};
 use yucca_wire::announce;
 use yucca_wire::id;
 use yucca_wire::report;
 use yucca_wire::table;
 
-use super::seen::Fading;
+use super::rates::Rates;
 use super::{Announce, State};
 use crate::lease;
 
-/// The window of the rates of shards.
-const SHARD_WINDOW: time::Duration = time::Duration::from_secs(10);
-/// The window of the rates of hot keys; short, so that a pin comes before shards have moved.
-const KEY_WINDOW: time::Duration = time::Duration::from_millis(1500);
 /// How long a target that the state does not know is remembered after it was heard.
 const KEEP_UNKNOWN: time::Duration = time::Duration::from_secs(10);
 /// How often work is evened out.
 const BALANCE_INTERVAL: time::Duration = time::Duration::from_secs(1);
-/// The most hot keys of a service whose rates are kept.
-const MAX_KEYS: usize = 1024;
 
 /// What the leader saw, on the clock of its process.
 #[derive(Debug, Clone)]
@@ -87,63 +80,24 @@
     pub left: bool,
 }
 
-impl Target {
-    fn is_recent(&self, now: time::Duration) -> bool {
-        self.announced.is_some() && now.saturating_sub(self.heard) <= KEEP_UNKNOWN
+impl Host {
+    fn new(leased: time::Duration, heard: time::Duration) -> Self {
+        Self {
+            incarnation: 0,
+            heard,
+            leased,
+            lapsed: false,
+            stopping: false,
+            global: id::Version::default(),
+            locals: IndexMap::new(),
+            steady_since: heard,
+        }
     }
 }
 
-/// The rates of work of one service.
-#[derive(Debug, Clone, Default)]
-pub(super) struct Rates {
-    shards: IndexMap<id::Shard, Fading>,
-    keys: IndexMap<Bytes, Key>,
-}
-
-/// The rates of a hot key: over a short time, and over the same time as those of shards.
-#[derive(Debug, Clone, Default)]
-struct Key {
-    short: Fading,
-    long: Fading,
-}
-
-impl Rates {
-    /// Returns the rate of a shard, in slot-microseconds a second.
-    pub fn shard(&self, shard: id::Shard, now: time::Duration) -> f32 {
-        let fading = self.shards.get(&shard);
-        fading.map_or(0.0, |fading| fading.rate(now, SHARD_WINDOW))
-    }
-
-    /// Returns the hot keys and their rates.
-    pub fn keys(&self, now: time::Duration) -> impl Iterator<Item = (&Bytes, f32)> {
-        let keys = self.keys.iter();
-        keys.map(move |(key, rates)| (key, rates.short.rate(now, KEY_WINDOW)))
-    }
-
-    /// Returns the part of a key's work that the rate of its shard holds, in slot-microseconds a
-    /// second.
-    pub fn key_in_shard(&self, key: &Bytes, now: time::Duration) -> f32 {
-        let rates = self.keys.get(key);
-        rates.map_or(0.0, |rates| rates.long.rate(now, SHARD_WINDOW))
-    }
-
-    fn add(&mut self, lane: &report::Lane, now: time::Duration) {
-        for (shard, work) in &lane.work {
-            let fading = self.shards.entry(*shard).or_default();
-            fading.add(*work, now, SHARD_WINDOW);
-        }
-        for (key, work) in &lane.hot {
-            let rates = self.keys.entry(key.clone()).or_default();
-            rates.short.add(*work, now, KEY_WINDOW);
-            rates.long.add(*work, now, SHARD_WINDOW);
-        }
-        if self.keys.len() > MAX_KEYS {
-            let mut rates: Vec<f32> = self.keys(now).map(|(_, rate)| rate).collect();
-            rates.sort_by(f32::total_cmp);
-            let least = rates[rates.len() - MAX_KEYS / 2];
-            self.keys
-                .retain(|_, rates| rates.short.rate(now, KEY_WINDOW) >= least);
-        }
+impl Target {
+    fn is_recent(&self, now: time::Duration) -> bool {
+        self.announced.is_some() && now.saturating_sub(self.heard) <= KEEP_UNKNOWN
     }
 }
 
@@ -181,13 +135,7 @@
         if now.saturating_sub(self.balance_due) >= BALANCE_INTERVAL {
             self.balance_due = now;
         }
-        for (name, host) in &mut self.hosts {
-            let gone = state.hosts.get(name).is_none_or(|known| !known.up);
-            if host.lapsed && gone {
-                host.lapsed = false;
-                host.leased = now;
-            }
-        }
+        self.judge_leases(state, now);
         let table = &state.table;
         self.targets
             .retain(|name, seen| table.targets.contains_key(name) || seen.is_recent(now));
@@ -203,6 +151,27 @@
             .retain(|service, _| state.global.services.contains_key(service));
     }
 
+    /// Decides which leases lapsed. From then on a host gets no lease before its lanes were taken
+    /// away, although it may be heard again while the log still decides that.
+    fn judge_leases(&mut self, state: &State, now: time::Duration) {
+        let since = self.since;
+        for (name, known) in state.hosts.iter().filter(|(_, known)| known.up) {
+            let host = self.hosts.entry(name.clone()).or_insert_with(|| Host {
+                incarnation: known.incarnation,
+                ..Host::new(since, since)
+            });
+            let silent = now.saturating_sub(host.leased) > lease::grantor(lease::HOST);
+            host.lapsed |= silent || host.incarnation != known.incarnation;
+        }
+        for (name, host) in &mut self.hosts {
+            let gone = state.hosts.get(name).is_none_or(|known| !known.up);
+            if host.lapsed && gone {
+                host.lapsed = false;
+                host.leased = now;
+            }
+        }
+    }
+
     /// Tells whether a report of a host may be answered by a lease. Only a leader that a quorum
     /// has confirmed since the report came may say so.
     pub fn may_lease(&self, state: &State, host: &id::Host) -> bool {
@@ -244,12 +213,6 @@
         self.since
     }
 
-    /// Returns how long a host's lease was not renewed.
-    pub(super) fn lease_age(&self, host: &id::Host, now: time::Duration) -> time::Duration {
-        let leased = self.hosts.get(host).map(|host| host.leased);
-        now.saturating_sub(leased.unwrap_or(self.since))
-    }
-
     /// Returns the shards of a target.
     pub(super) fn owned(&self, target: &id::Target) -> impl Iterator<Item = id::Shard> {
         let owned = self.owned.get(target);
@@ -263,13 +226,7 @@
             .entry(report.host.clone())
             .or_insert_with(|| Host {
                 incarnation: report.incarnation,
-                heard: now,
-                leased: since,
-                lapsed: false,
-                stopping: false,
-                global: report.global,
-                locals: IndexMap::new(),
-                steady_since: now,
+                ..Host::new(since, now)
             });
         if report.incarnation < host.incarnation {
             return false;
--- a/crates/yucca-own/src/domain/plan/hosts.rs
+++ b/crates/yucca-own/src/domain/plan/hosts.rs
@@ -13,8 +13,7 @@
 ) {
     for (name, host) in state.hosts.iter().filter(|(_, host)| host.up) {
         let seen = evidence.hosts.get(name);
-        let lapsed = seen.is_some_and(|seen| seen.lapsed || seen.incarnation != host.incarnation);
-        if lapsed || evidence.lease_age(name, now) > lease::grantor(lease::HOST) {
+        if seen.is_some_and(|seen| seen.lapsed) {
             commands.push(Command::HostLost {
                 host: name.clone(),
                 incarnation: host.incarnation,
--- a/crates/yucca-own/src/domain/plan/loads.rs
+++ b/crates/yucca-own/src/domain/plan/loads.rs
@@ -7,7 +7,7 @@
 use yucca_wire::id;
 use yucca_wire::table;
 
-use crate::domain::evidence::Rates;
+use crate::domain::rates::Rates;
 use crate::domain::{Evidence, State};
 
 /// What a shard is taken to cost besides its known work, in slot-microseconds a second, so that
--- a/crates/yucca-own/tests/lane_changes.rs
+++ b/crates/yucca-own/tests/lane_changes.rs
@@ -177,6 +177,37 @@
     assert!(!lanes(&zone.state.table()).contains_key(&host));
 }
 
+#[test]
+fn a_report_read_before_the_lapse_and_heard_after_it_renews_nothing() {
+    let mut world = world();
+    let host: id::Host = name("a1");
+    let report = yucca_wire::report::Report {
+        host: host.clone(),
+        incarnation: 1,
+        global: id::Version(1),
+        locals: IndexMap::new(),
+        announced: Vec::new(),
+        lanes: IndexMap::new(),
+        stopping: false,
+    };
+    let now = world.now;
+    let zone = world.zone("a");
+    zone.evidence.hear(&report, now);
+    let judged = now + Duration::from_millis(720);
+    zone.evidence.observe(&zone.state, judged);
+    let lost = domain::Command::HostLost {
+        host: host.clone(),
+        incarnation: 1,
+    };
+    assert!(zone.state.plan(&zone.evidence, judged).contains(&lost));
+    zone.evidence
+        .hear(&report, now + Duration::from_millis(710));
+    assert!(
+        !zone.evidence.may_lease(&zone.state, &host),
+        "its lanes are being taken away"
+    );
+}
+
 #[test]
 fn a_lane_that_alone_cannot_reach_its_target_moves() {
     let mut world = world();
