--- a/crates/yucca-own/src/global.rs
+++ b/crates/yucca-own/src/global.rs
@@ -5,6 +5,7 @@
 mod command;
 mod evidence;
 mod homes;
+mod moves;
 mod plan;
 mod record;
 
