--- a/crates/yucca-spec/src/lib.rs
+++ b/crates/yucca-spec/src/lib.rs
@@ -1,2 +1,5 @@
 //! Under construction; see `docs/design/`.
 pub mod leave;
+
+pub mod grant;
+pub mod ticket;
