Control: losses, cuts, races and who may speak

Cause: control must lose no ticket and settle under losses and cuts. Change: addresses can be bound before the founding hosts are known, and connections opened from a set address; a folder that an earlier life still closes is opened again shortly; a sole voter stops without waiting for another leader.

--- a/crates/yucca-control/src/connection/listener.rs
+++ b/crates/yucca-control/src/connection/listener.rs
@@ -69,12 +69,11 @@
 }
 
 impl Listener {
-    /// Listens at `address` and lets `service` answer.
+    /// Lets `service` answer what comes in at `socket`.
     ///
     /// # Errors
-    /// Fails where the address cannot be had.
-    pub async fn start(address: net::SocketAddr, service: Service) -> io::Result<Self> {
-        let socket = tokio::net::TcpListener::bind(address).await?;
+    /// Fails where the socket's address is not known.
+    pub fn start(socket: tokio::net::TcpListener, service: Service) -> io::Result<Self> {
         let address = socket.local_addr()?;
         let (stop, stopped) = watch::channel(false);
         let task = tokio::spawn(accept(socket, service, stopped));
--- a/crates/yucca-control/src/peer/http.rs
+++ b/crates/yucca-control/src/peer/http.rs
@@ -1,5 +1,6 @@
 //! Calls over HTTP.
 
+use std::net;
 use std::time;
 
 use bytes::Bytes;
@@ -29,10 +30,11 @@
 }
 
 impl Client {
-    /// Returns a client that shows `secret`.
-    pub fn new(secret: &auth::Secret) -> Self {
+    /// Returns a client that shows `secret` and connects from `local`.
+    pub fn new(secret: &auth::Secret, local: Option<net::IpAddr>) -> Self {
         let mut connector = legacy::connect::HttpConnector::new();
         connector.set_nodelay(true);
+        connector.set_local_address(local);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = legacy::Client::builder(rt::TokioExecutor::new())
             .pool_idle_timeout(IDLE_TIMEOUT)
--- a/crates/yucca-control/src/process.rs
+++ b/crates/yucca-control/src/process.rs
@@ -74,29 +74,92 @@
 
 impl std::error::Error for Error {}
 
-impl Process {
-    /// Starts a control process.
+/// A process whose addresses are bound, and that does not run yet.
+pub struct Bound {
+    settings: settings::Settings,
+    operator: tokio::net::TcpListener,
+    peer: tokio::net::TcpListener,
+    health: tokio::net::TcpListener,
+    addresses: Addresses,
+}
+
+impl Bound {
+    /// Binds the addresses in the settings; the system chooses a port in place of port 0.
     ///
     /// # Errors
-    /// Fails where an address cannot be had or the storage cannot be opened.
-    pub async fn start(settings: settings::Settings) -> Result<Self, Error> {
-        let client = peer::http::Client::new(&settings.secrets.peer);
-        let addresses = settings.addresses.clone();
-        let core = core::Core::new(settings, sync::Arc::new(client), rand::random());
-        let services = request::Services::new(&core);
-        let operator = listen("addresses.operator", addresses.operator, services.operator).await?;
-        let peer = listen("addresses.peer", addresses.peer, services.peer).await?;
-        let health = listen("addresses.health", addresses.health, services.health).await?;
-        let tasks = core::run(&core).map_err(Error::Storage)?;
+    /// Fails where an address cannot be had.
+    pub async fn bind(settings: settings::Settings) -> Result<Self, Error> {
+        let wanted = &settings.addresses;
+        let operator = bind("addresses.operator", wanted.operator).await?;
+        let peer = bind("addresses.peer", wanted.peer).await?;
+        let health = bind("addresses.health", wanted.health).await?;
+        let addresses = Addresses {
+            operator: address("addresses.operator", wanted.operator, &operator)?,
+            peer: address("addresses.peer", wanted.peer, &peer)?,
+            health: address("addresses.health", wanted.health, &health)?,
+        };
         Ok(Self {
-            core,
-            tasks,
+            settings,
             operator,
             peer,
             health,
+            addresses,
         })
     }
 
+    /// Returns where the process will listen.
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Sets the control processes that found the deployment, where their addresses were not known
+    /// before they were bound.
+    pub fn set_peers(&mut self, peers: Vec<settings::Peer>) {
+        self.settings.peers = peers;
+    }
+
+    /// Starts the process.
+    ///
+    /// # Errors
+    /// Fails where the storage cannot be opened.
+    pub fn start(self) -> Result<Process, Error> {
+        let Self { mut settings, .. } = self;
+        if settings.peers.is_empty() {
+            settings.peers.push(alone(&settings, self.addresses.peer));
+        }
+        let client = peer::http::Client::new(&settings.secrets.peer, settings.local);
+        let core = core::Core::new(settings, sync::Arc::new(client), rand::random());
+        let tasks = core::run(&core).map_err(Error::Storage)?;
+        let services = request::Services::new(&core);
+        let addresses = self.addresses;
+        Ok(Process {
+            core,
+            tasks,
+            operator: serve(addresses.operator, self.operator, services.operator)?,
+            peer: serve(addresses.peer, self.peer, services.peer)?,
+            health: serve(addresses.health, self.health, services.health)?,
+        })
+    }
+}
+
+fn alone(settings: &settings::Settings, address: net::SocketAddr) -> settings::Peer {
+    settings::Peer {
+        host: settings.host.clone(),
+        domain: settings.domain.clone(),
+        address,
+        disk: settings.data.is_some(),
+    }
+}
+
+impl Process {
+    /// Binds the addresses in the settings and starts a control process.
+    ///
+    /// # Errors
+    /// Fails where an address cannot be had or the storage cannot be opened.
+    pub async fn start(settings: settings::Settings) -> Result<Self, Error> {
+        Bound::bind(settings).await?.start()
+    }
+
     /// Returns where the process listens.
     pub fn addresses(&self) -> Addresses {
         Addresses {
@@ -135,14 +198,38 @@
     }
 }
 
-async fn listen(
+async fn bind(
     setting: &'static str,
     address: net::SocketAddr,
+) -> Result<tokio::net::TcpListener, Error> {
+    let socket = tokio::net::TcpListener::bind(address).await;
+    socket.map_err(|error| Error::Listen {
+        setting,
+        address,
+        error,
+    })
+}
+
+fn address(
+    setting: &'static str,
+    address: net::SocketAddr,
+    socket: &tokio::net::TcpListener,
+) -> Result<net::SocketAddr, Error> {
+    socket.local_addr().map_err(|error| Error::Listen {
+        setting,
+        address,
+        error,
+    })
+}
+
+fn serve(
+    address: net::SocketAddr,
+    socket: tokio::net::TcpListener,
     service: listener::Service,
 ) -> Result<listener::Listener, Error> {
-    let listener = listener::Listener::start(address, service).await;
+    let listener = listener::Listener::start(socket, service);
     listener.map_err(|error| Error::Listen {
-        setting,
+        setting: "addresses",
         address,
         error,
     })
--- a/crates/yucca-control/src/replica.rs
+++ b/crates/yucca-control/src/replica.rs
@@ -201,7 +201,8 @@
 
     /// Hands leadership over and waits until another leads, at most `patience`.
     pub async fn hand_over(&self, patience: time::Duration) {
-        if !self.standing.borrow().leads {
+        let standing = self.standing();
+        if !standing.leads || standing.members.voters().len() < 2 {
             return;
         }
         if self.requests.send(Request::Transfer).await.is_err() {
--- a/crates/yucca-control/src/replica/run.rs
+++ b/crates/yucca-control/src/replica/run.rs
@@ -17,7 +17,7 @@
 const MIN_SLEEP: time::Duration = time::Duration::from_millis(1);
 
 /// How long to wait before storage that failed is opened again.
-const REOPEN_PAUSE: time::Duration = time::Duration::from_secs(1);
+const REOPEN_PAUSE: time::Duration = time::Duration::from_millis(250);
 
 /// How many requests are taken before timers and storage are looked at again.
 const BURST: usize = 256;
@@ -62,7 +62,15 @@
         requests: mpsc::Receiver<Request>,
         standing: watch::Sender<Standing>,
     ) -> Result<Self, log_storage::Error> {
-        let opened = parts.opener.open()?;
+        let mut failed = None;
+        let opened = match parts.opener.open() {
+            // An earlier life of this process may still be closing the folder.
+            Err(error @ log_storage::Error::Locked { .. }) => {
+                failed = Some(error);
+                storage::Opened::none()
+            }
+            opened => opened?,
+        };
         Ok(Self {
             node: node::Node::new(parts.config.clone(), opened.recovered),
             parts,
@@ -70,7 +78,7 @@
             store: Some(opened.store),
             writing: None,
             slow: opened.slow,
-            failed: None,
+            failed,
             tickets: 0,
             proposals: IndexMap::new(),
             reads: IndexMap::new(),
@@ -88,7 +96,9 @@
     }
 
     pub async fn run(mut self) {
-        self.step(node::Input::Tick);
+        if self.failed.is_none() {
+            self.step(node::Input::Tick);
+        }
         loop {
             if let Some(error) = self.failed.take() {
                 self.reopen(error).await;
--- a/crates/yucca-control/src/replica/storage.rs
+++ b/crates/yucca-control/src/replica/storage.rs
@@ -22,6 +22,17 @@
     pub slow: bool,
 }
 
+impl Opened {
+    /// Returns what stands for storage that cannot be opened yet; no replica runs on it.
+    pub(super) fn none() -> Self {
+        Self {
+            store: Box::new(memory::Folder::new()),
+            recovered: storage::Recovered::blank(0),
+            slow: false,
+        }
+    }
+}
+
 /// Opens the storage of a replica, at the start and again after a failure.
 pub trait Opener: Send {
     /// Opens the storage.
--- a/crates/yucca-control/src/settings.rs
+++ b/crates/yucca-control/src/settings.rs
@@ -19,6 +19,9 @@
         pub domain: id::Domain,
         /// The folder for durable state. A host without a disk leaves it out.
         pub data: Option<path::PathBuf>,
+        /// The IP address from which connections to peers are opened; the system chooses one
+        /// where it is absent.
+        pub local: Option<net::IpAddr>,
         /// Where the process listens.
         pub addresses: Addresses,
         /// The keys that others must show.
@@ -26,7 +29,8 @@
         /// How long things may take.
         pub timing: Timing,
         /// The control processes that found the deployment, this one included. The list is the
-        /// same on each host; hosts that come later are named in tickets.
+        /// same on each host; hosts that come later are named in tickets. Without any the process
+        /// is alone.
         pub peers: Vec<Peer>,
     }
 }
