--- a/crates/yucca-control/src/directory.rs
+++ b/crates/yucca-control/src/directory.rs
@@ -32,8 +32,9 @@
 impl Directory {
     /// Returns the hosts that the settings and the global part of the table name.
     ///
-    /// Where a ticket names hosts of a domain, it carries the whole set of them, and the settings
-    /// no longer count for that domain.
+    /// Where a ticket names hosts of a domain, it carries the whole set of them. The address of a
+    /// host that the settings name is the settings', so that no ticket can make control processes
+    /// lose each other.
     pub fn new(founders: &[settings::Peer], global: &table::Global) -> Self {
         let mut hosts = IndexMap::new();
         for founder in founders {
@@ -48,9 +49,10 @@
         }
         for (domain, named) in &global.domains {
             for (name, host) in &named.hosts {
+                let founder = founders.iter().find(|founder| founder.host == *name);
                 let entry = Entry {
                     domain: domain.clone(),
-                    address: host.control,
+                    address: founder.map_or(host.control, |founder| founder.address),
                     disk: host.disk,
                 };
                 hosts.insert(name.clone(), entry);
--- a/crates/yucca-control/src/process.rs
+++ b/crates/yucca-control/src/process.rs
@@ -1,5 +1,6 @@
 //! What lives as long as the process.
 
+pub mod confirm;
 pub mod core;
 pub mod errand;
 mod follow;
--- a/crates/yucca-control/src/process/core.rs
+++ b/crates/yucca-control/src/process/core.rs
@@ -19,7 +19,7 @@
 use crate::message;
 use crate::peer;
 use crate::post;
-use crate::process::{follow, lead, ready, seat};
+use crate::process::{confirm, follow, lead, ready, seat};
 use crate::replica;
 use crate::settings;
 use crate::version::feed;
@@ -224,6 +224,7 @@
             machine,
             evidence: sync::Mutex::new(domain::Evidence::new(self.now())),
             hosts: sync::Mutex::default(),
+            confirmation: confirm::Confirmation::default(),
         })
     }
 
@@ -330,5 +331,6 @@
     tasks.spawn(lead::run_global(core.clone()));
     tasks.spawn(lead::run_domains(core.clone()));
     tasks.spawn(follow::run(core.clone()));
+    tasks.spawn(confirm::run(core.clone()));
     Ok(tasks)
 }
--- a/crates/yucca-control/src/process/seat.rs
+++ b/crates/yucca-control/src/process/seat.rs
@@ -10,6 +10,7 @@
 use crate::directory;
 use crate::machine;
 use crate::message;
+use crate::process::confirm;
 use crate::replica;
 
 /// The most hosts that run a replica of the global log; those beyond its voters are spares.
@@ -49,6 +50,8 @@
     pub evidence: sync::Mutex<domain::Evidence>,
     /// The hosts that report, as the leader hears them.
     pub hosts: sync::Mutex<IndexMap<id::Host, Host>>,
+    /// Confirms for many reports at once that this host still leads.
+    pub confirmation: confirm::Confirmation,
 }
 
 /// A host that reports.
--- a/crates/yucca-control/src/replica/run.rs
+++ b/crates/yucca-control/src/replica/run.rs
@@ -19,6 +19,12 @@
 /// How long to wait before storage that failed is opened again.
 const REOPEN_PAUSE: time::Duration = time::Duration::from_millis(250);
 
+/// How long a replica that is no member asks often to become one.
+const EAGER: time::Duration = time::Duration::from_secs(5);
+
+/// How often a replica that is no member asks to become one after that.
+const PATIENT: time::Duration = time::Duration::from_secs(1);
+
 /// How many requests are taken before timers and storage are looked at again.
 const BURST: usize = 256;
 
@@ -50,6 +56,8 @@
     /// Replicas that are no members and ask to join, and when they last did.
     pub joining: IndexMap<membership::Replica, time::Duration>,
     pub steward_at: time::Duration,
+    /// When the core was last told that time has passed.
+    pub ticked: time::Duration,
     /// When this replica became leader.
     pub leads_since: Option<time::Duration>,
     requests: mpsc::Receiver<Request>,
@@ -85,6 +93,7 @@
             replies: IndexMap::new(),
             joining: IndexMap::new(),
             steward_at: time::Duration::ZERO,
+            ticked: time::Duration::ZERO,
             leads_since: None,
             requests,
             standing,
@@ -103,7 +112,7 @@
             if let Some(error) = self.failed.take() {
                 self.reopen(error).await;
             }
-            let due = self.node.next_wake().min(self.steward_at);
+            let due = self.next_tick().min(self.steward_at);
             let wake = self.start + due.max(self.now() + MIN_SLEEP);
             tokio::select! {
                 biased;
@@ -117,9 +126,20 @@
         }
     }
 
+    /// A spare replica may wait for long, so it asks to join less often than the core would.
+    fn next_tick(&self) -> time::Duration {
+        let due = self.node.next_wake();
+        let member = self.node.members().contains(self.node.replica());
+        if member || due < EAGER {
+            return due;
+        }
+        due.max(self.ticked + PATIENT)
+    }
+
     fn wake(&mut self) {
         let now = self.now();
-        if now >= self.node.next_wake() {
+        if now >= self.next_tick() {
+            self.ticked = now;
             self.step(node::Input::Tick);
         }
         if now >= self.steward_at {
@@ -228,6 +248,7 @@
         self.node = node::Node::new(self.parts.config.clone(), opened.recovered);
         self.start = tokio::time::Instant::now();
         self.steward_at = time::Duration::ZERO;
+        self.ticked = time::Duration::ZERO;
         self.joining.clear();
         self.leads_since = None;
         self.step(node::Input::Tick);
--- a/crates/yucca-control/src/request/serve.rs
+++ b/crates/yucca-control/src/request/serve.rs
@@ -65,7 +65,7 @@
         lock(&seat.evidence).hear(&hear.report, now);
         let seen = seat::Host::new(&hear.report, now);
         lock(&seat.hosts).insert(hear.report.host.clone(), seen);
-        if seat.replica.read().await.is_err() {
+        if !seat.confirmation.wait(now).await {
             return Heard::NotLeader(None);
         }
         let evidence = lock(&seat.evidence);
