--- a/crates/yucca-control/src/replica/steward.rs
+++ b/crates/yucca-control/src/replica/steward.rs
@@ -28,6 +28,11 @@
         self.joining.retain(|_, heard| *heard + SILENCE > now);
         let directory = (self.parts.hosts)();
         let standings = self.standings(&directory, now, since);
+        if let Some(local) = self.better_leader(&standings) {
+            log::info!("log={} leadership goes to {local}", self.parts.log);
+            self.step(node::Input::Transfer { to: Some(local) });
+            return;
+        }
         let members = self.node.members();
         let change = match &self.parts.rule {
             Rule::Local(_) => membership::next_change(members, self.node.replica(), &standings),
@@ -41,6 +46,18 @@
         }
     }
 
+    /// A witness that leads hands over to a local, which hears the domain's hosts itself.
+    fn better_leader(&self, standings: &[membership::Standing]) -> Option<id::Host> {
+        let is_witness = |s: &membership::Standing| s.replica == *self.node.replica() && !s.local;
+        if self.parts.rule == Rule::Spread || !standings.iter().any(is_witness) {
+            return None;
+        }
+        let members = self.node.members();
+        let mut locals = standings.iter();
+        let local = locals.find(|s| s.local && s.alive && members.is_voter(&s.replica))?;
+        Some(local.replica.host.clone())
+    }
+
     fn standings(
         &self,
         directory: &directory::Directory,
