Quorum rule: keep witnesses for a spare local; count a disk before dropping memory

Cause: the exhaustive search of the rule found that replacing a voter without a disk by a spare with one dropped the old voter first, so that for a while one loss fewer was tolerated; and that a spare local to be taught cost a witness that was then added again. Change: the spare is promoted first (4+2 for a moment), then the other is dropped; witnesses stay while a spare local is being taught.

--- a/crates/yucca-log/src/membership/rule.rs
+++ b/crates/yucca-log/src/membership/rule.rs
@@ -91,6 +91,12 @@
         alive.count().clamp(1, MAX_LOCALS)
     }
 
+    /// The number of witnesses to keep. Where a spare local will soon count, those for it stay.
+    fn kept_witnesses(&self) -> usize {
+        self.wanted_locals() - 1
+    }
+
+    /// The number of witnesses that the locals that count already allow.
     fn wanted_witnesses(&self) -> usize {
         let locals = self.voters(true).len().min(self.wanted_locals());
         locals.saturating_sub(1)
@@ -138,7 +144,7 @@
     /// disks to be a quorum after a restart of the whole domain.
     fn drop_witness(&self) -> Option<Change> {
         let witnesses = self.voters(false);
-        if witnesses.len() > self.wanted_witnesses() {
+        if witnesses.len() > self.kept_witnesses() {
             return self.pick_witness(&witnesses);
         }
         let dead = witnesses.iter().find(|w| !self.is_alive(w))?;
@@ -158,17 +164,15 @@
         durable > locals.len() / 2
     }
 
-    /// Makes room for a local with a disk among voters without one.
+    /// Drops a local beyond the limit, one without a disk first.
     fn drop_surplus_local(&self) -> Option<Change> {
         let locals = self.voters(true);
-        let ready = self.learner(true)?;
-        let replaces = self.has_disk(ready) && locals.len() == MAX_LOCALS;
-        let worst = locals.iter().rev().find(|local| !self.has_disk(local))?;
-        let witnesses = self.voters(false).len();
-        if replaces && quorum_holds_local(locals.len() - 1, witnesses) {
-            return self.removal(worst);
+        if locals.len() <= MAX_LOCALS {
+            return None;
         }
-        None
+        let others = || locals.iter().rev().filter(|local| **local != self.leader);
+        let worst = others().find(|local| !self.has_disk(local));
+        self.removal(worst.or(others().next())?)
     }
 
     fn learner(&self, local: bool) -> Option<&Replica> {
@@ -195,13 +199,22 @@
         if locals.len() < self.wanted_locals() {
             return self.grow(true);
         }
-        let lacks_disk = locals
-            .iter()
-            .any(|local| !self.has_disk(local) && *local != self.leader);
-        if lacks_disk && !self.is_learning(true) {
-            return self.spare(true, true);
+        let mut others = locals.iter().filter(|local| **local != self.leader);
+        let lacks_disk = others.any(|local| !self.has_disk(local));
+        lacks_disk.then(|| self.add_disk())?
+    }
+
+    /// Counts a spare local with a disk before one without makes room for it, so that no fewer
+    /// losses are tolerated meanwhile.
+    fn add_disk(&self) -> Option<Change> {
+        let ready = self.learner(true).filter(|ready| self.has_disk(ready));
+        if let Some(ready) = ready {
+            return Some(Change::Promote(ready.clone()));
+        }
+        if self.is_learning(true) {
+            return None;
         }
-        None
+        self.spare(true, true)
     }
 
     fn add_witness(&self) -> Option<Change> {
