Exhaustive search of the log and its quorum rule

Cause: the promises of the log need proof beyond sampled runs. Change: `search` runs a model through breadth-first search and returns the shortest counterexample. `replica` drives the product's `Node::step` with messages in any order, late or never, syncs that take time, restarts, membership changes and a partial cut; elections disregard pre-votes and leases, so safety is shown without either.

--- a/crates/yucca-spec/src/lib.rs
+++ b/crates/yucca-spec/src/lib.rs
@@ -1,1 +1,5 @@
-//! Under construction; see `docs/design/`.
+//! Small specifications of the core protocols, searched exhaustively.
+
+pub mod quorum;
+pub mod replica;
+pub mod search;
--- /dev/null
+++ b/crates/yucca-spec/src/replica.rs
@@ -0,0 +1,138 @@
+//! The replicated log: a few replicas of the product's own `Node::step`, and a network that
+//! delivers in any order, late or never.
+//!
+//! Time stands still; what a timer would start is a step of its own. Leaders are elected without
+//! regard to pre-votes and leases, so what is shown here does not rest on either.
+
+mod world;
+
+use std::time::Duration;
+
+use yucca_log::{entry, membership, node};
+
+use crate::search;
+
+pub use world::World;
+
+/// A fault put into the model to show that the search would find it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mutant {
+    /// None: the product as it is.
+    None,
+    /// Records are reported as synced and not kept.
+    SyncSkipped,
+    /// A host without a disk comes back under its old incarnation.
+    OldSelf,
+    /// Every pre-vote is granted.
+    PreVoteOff,
+}
+
+/// The bounds of a search.
+#[derive(Debug, Clone)]
+pub struct Setup {
+    /// The number of replicas.
+    pub hosts: usize,
+    /// The replicas that may campaign, in any order, each so many times.
+    pub campaigns: Vec<u8>,
+    /// How often each replica may restart.
+    pub crashes: Vec<u8>,
+    /// How many proposals may be made.
+    pub proposals: u8,
+    /// How many messages may be delivered twice.
+    pub duplicates: u8,
+    /// The membership changes that leaders may make, each once, in any order.
+    pub changes: Vec<membership::Change>,
+    /// The replica without a disk, if any.
+    pub diskless: Option<usize>,
+    /// Whether syncs take time, so that other steps may come before them.
+    pub slow_sync: bool,
+    /// The search starts with replica 0 leading and the replica given here cut off from it.
+    pub cut: Option<usize>,
+    /// The fault put in.
+    pub mutant: Mutant,
+}
+
+impl Setup {
+    /// Returns a search of so many replicas in which nothing happens.
+    pub fn new(hosts: usize) -> Self {
+        Self {
+            hosts,
+            campaigns: vec![0; hosts],
+            crashes: vec![0; hosts],
+            proposals: 0,
+            duplicates: 0,
+            changes: Vec::new(),
+            diskless: None,
+            slow_sync: false,
+            cut: None,
+            mutant: Mutant::None,
+        }
+    }
+
+    /// Leases hold only where a cut is searched.
+    fn election(&self) -> Duration {
+        match self.cut {
+            Some(_) => Duration::from_millis(250),
+            None => Duration::ZERO,
+        }
+    }
+
+    /// Whether pre-votes go through the network, rather than being granted.
+    fn asks_pre_votes(&self) -> bool {
+        self.cut.is_some() && self.mutant != Mutant::PreVoteOff
+    }
+}
+
+impl search::Model for Setup {
+    type State = World;
+
+    fn starts(&self) -> Vec<World> {
+        vec![World::new(self)]
+    }
+
+    fn steps(&self, world: &World) -> Vec<World> {
+        let mut next = Vec::new();
+        for host in 0..self.hosts {
+            next.extend(world.campaign(self, host));
+            next.extend(world.sync(self, host));
+            next.extend(world.propose(self, host));
+            next.extend(world.crash(self, host, false));
+            next.extend(world.crash(self, host, true));
+            for change in 0..self.changes.len() {
+                next.extend(world.change(self, host, change));
+            }
+        }
+        for letter in 0..world.letters() {
+            next.extend(world.deliver(self, letter, false));
+            next.extend(world.deliver(self, letter, true));
+        }
+        next
+    }
+
+    fn violation(&self, world: &World) -> Option<String> {
+        let raised = self.cut.is_some() && world.term() > entry::Term(1);
+        let raised = raised.then(|| "terms rose behind a partial cut".to_owned());
+        world.violation().or(raised)
+    }
+
+    fn label(&self, world: &World) -> String {
+        world.label().into()
+    }
+}
+
+/// Returns the replicas of a search in their first life.
+pub fn replicas(hosts: usize) -> Vec<membership::Replica> {
+    let names = ["a", "b", "c", "d", "e"].into_iter().take(hosts);
+    let parsed = names.filter_map(|name| name.parse().ok());
+    parsed
+        .map(|host| membership::Replica {
+            host,
+            incarnation: 1,
+        })
+        .collect()
+}
+
+/// Tells whether a replica leads.
+fn leads(node: &node::Node) -> bool {
+    node.role() == node::Role::Leader
+}
--- /dev/null
+++ b/crates/yucca-spec/src/replica/world.rs
@@ -0,0 +1,454 @@
+//! The state of a search over replicas, and its steps.
+
+use std::fmt::Write;
+use std::hash;
+use std::rc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3;
+use yucca_log::{entry, membership, message, node, storage};
+use yucca_wire::id;
+
+use crate::replica::{Mutant, Setup, leads, replicas};
+
+/// The time of every step; later than the start, so that a lease may have been renewed.
+const NOW: Duration = Duration::from_millis(1);
+
+/// One host of a world.
+#[derive(Clone)]
+struct Host {
+    node: rc::Rc<node::Node>,
+    disk: rc::Rc<storage::Image>,
+    pending: Option<rc::Rc<Pending>>,
+    incarnation: u64,
+    digest: u128,
+}
+
+/// Records that are not synced.
+struct Pending {
+    sequence: u64,
+    records: Vec<storage::Record>,
+}
+
+/// A message under way.
+#[derive(Clone)]
+struct Letter {
+    from: usize,
+    to: usize,
+    message: rc::Rc<message::Message>,
+    digest: u128,
+}
+
+/// What is left of the bounds.
+#[derive(Debug, Clone)]
+struct Left {
+    campaigns: Vec<u8>,
+    crashes: Vec<u8>,
+    proposals: u8,
+    duplicates: u8,
+    changes: Vec<bool>,
+}
+
+/// What is known of a committed entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Committed {
+    /// The term in which it was proposed.
+    entry: entry::Term,
+    /// The term of the leader that committed it.
+    by: entry::Term,
+}
+
+/// A state of the search.
+#[derive(Clone)]
+pub struct World {
+    hosts: Vec<Host>,
+    letters: Vec<Letter>,
+    left: Left,
+    /// Who led each term.
+    leaders: IndexMap<entry::Term, usize>,
+    /// The entries that were committed.
+    committed: IndexMap<id::Version, Committed>,
+    violation: Option<String>,
+    label: String,
+    digest: u128,
+}
+
+impl PartialEq for World {
+    fn eq(&self, other: &Self) -> bool {
+        self.digest == other.digest
+    }
+}
+
+impl Eq for World {}
+
+impl hash::Hash for World {
+    fn hash<H: hash::Hasher>(&self, state: &mut H) {
+        self.digest.hash(state);
+    }
+}
+
+fn digest_of(value: &impl std::fmt::Debug) -> u128 {
+    xxh3::xxh3_128(format!("{value:?}").as_bytes())
+}
+
+impl Host {
+    fn seal(&mut self) {
+        let mut text = format!("{:?}{:?}{}", self.node, self.disk, self.incarnation);
+        if let Some(pending) = &self.pending {
+            // Writing to a string does not fail.
+            let _ = write!(text, "{}{:?}", pending.sequence, pending.records);
+        }
+        self.digest = xxh3::xxh3_128(text.as_bytes());
+    }
+
+    fn keep(&mut self) -> Option<u64> {
+        let pending = self.pending.take()?;
+        let mut image = storage::Image::clone(&self.disk);
+        for record in pending.records.clone() {
+            image.apply(record);
+        }
+        self.disk = rc::Rc::new(image);
+        Some(pending.sequence)
+    }
+}
+
+impl World {
+    /// Returns the start of a search.
+    pub fn new(setup: &Setup) -> Self {
+        let members = membership::Members::new(replicas(setup.hosts));
+        let start = storage::Recovered::founded(1, entry::Cluster(1), members);
+        let hosts = replicas(setup.hosts).into_iter().map(|replica| {
+            let config = config(setup, replica.host);
+            Host {
+                node: rc::Rc::new(node::Node::new(config, start.clone())),
+                disk: rc::Rc::new(start.image.clone()),
+                pending: None,
+                incarnation: 1,
+                digest: 0,
+            }
+        });
+        let mut world = Self {
+            hosts: hosts.collect(),
+            letters: Vec::new(),
+            left: Left {
+                campaigns: setup.campaigns.clone(),
+                crashes: setup.crashes.clone(),
+                proposals: setup.proposals,
+                duplicates: setup.duplicates,
+                changes: vec![true; setup.changes.len()],
+            },
+            leaders: IndexMap::new(),
+            committed: IndexMap::new(),
+            violation: None,
+            label: "start".into(),
+            digest: 0,
+        };
+        for host in &mut world.hosts {
+            host.seal();
+        }
+        if let Some(cut) = setup.cut {
+            world.lead_and_cut(setup, cut);
+        }
+        world.seal();
+        world
+    }
+
+    /// Lets replica 0 lead, with all messages answered, and then cuts one off from it.
+    fn lead_and_cut(&mut self, setup: &Setup, cut: usize) {
+        let whole = Setup {
+            cut: None,
+            ..setup.clone()
+        };
+        self.left.campaigns[0] += 1;
+        if let Some(next) = self.campaign(&whole, 0) {
+            *self = next;
+        }
+        while let Some(next) = self.deliver(&whole, 0, false) {
+            *self = next;
+        }
+        self.label = format!("replica 0 leads, {cut} is cut off from it");
+    }
+
+    /// Returns the number of messages under way.
+    pub fn letters(&self) -> usize {
+        self.letters.len()
+    }
+
+    /// Returns what is violated.
+    pub fn violation(&self) -> Option<String> {
+        self.violation.clone()
+    }
+
+    /// Returns the step that led here.
+    pub fn label(&self) -> &str {
+        &self.label
+    }
+
+    fn seal(&mut self) {
+        // A message of a term that its receiver has left would only be refused; it counts as lost.
+        let terms: Vec<entry::Term> = self.hosts.iter().map(|h| h.node.term()).collect();
+        self.letters
+            .retain(|letter| letter.message.term >= terms[letter.to]);
+        self.letters.sort_by_key(|letter| letter.digest);
+        self.letters.dedup_by_key(|letter| letter.digest);
+        let hosts: Vec<u128> = self.hosts.iter().map(|host| host.digest).collect();
+        let letters: Vec<u128> = self.letters.iter().map(|l| l.digest).collect();
+        let ghosts = (&self.leaders, &self.committed, &self.violation);
+        self.digest = digest_of(&(hosts, letters, ghosts, &self.left));
+    }
+
+    fn after(&self, label: String) -> Self {
+        let mut next = self.clone();
+        next.label = label;
+        next
+    }
+
+    /// A replica's election timer expires.
+    pub fn campaign(&self, setup: &Setup, host: usize) -> Option<Self> {
+        if self.left.campaigns[host] == 0 || leads(&self.hosts[host].node) {
+            return None;
+        }
+        let mut next = self.after(format!("{host} campaigns"));
+        next.left.campaigns[host] -= 1;
+        next.step(setup, host, node::Input::Campaign);
+        if !setup.asks_pre_votes() {
+            next.grant_pre_votes(setup, host);
+        }
+        next.seal();
+        Some(next)
+    }
+
+    fn grant_pre_votes(&mut self, setup: &Setup, candidate: usize) {
+        for (other, replica) in replicas(setup.hosts).into_iter().enumerate() {
+            if other == candidate {
+                continue;
+            }
+            let node = &self.hosts[candidate].node;
+            let verdict = message::Verdict {
+                granted: true,
+                leader: None,
+            };
+            let message = message::Message {
+                group: message::Group::new(GROUP),
+                cluster: node.cluster(),
+                from: self.hosts[other].incarnation,
+                to: Some(self.hosts[candidate].incarnation),
+                term: node.term(),
+                body: message::Body::PreVoteReply(verdict),
+            };
+            let from = replica.host;
+            self.step(setup, candidate, node::Input::Message { from, message });
+        }
+    }
+
+    /// The pending records of a replica are synced.
+    pub fn sync(&self, setup: &Setup, host: usize) -> Option<Self> {
+        self.hosts[host].pending.as_ref()?;
+        let mut next = self.after(format!("{host} syncs"));
+        next.finish_sync(setup, host);
+        next.seal();
+        Some(next)
+    }
+
+    fn finish_sync(&mut self, setup: &Setup, host: usize) {
+        if let Some(upto) = self.hosts[host].keep() {
+            self.step(setup, host, node::Input::Synced { upto });
+        }
+    }
+
+    /// A replica proposes an entry, if it leads.
+    pub fn propose(&self, setup: &Setup, host: usize) -> Option<Self> {
+        if self.left.proposals == 0 || !leads(&self.hosts[host].node) {
+            return None;
+        }
+        let mut next = self.after(format!("{host} proposes"));
+        next.left.proposals -= 1;
+        let entry = vec![self.left.proposals].into();
+        let ticket = u64::from(self.left.proposals);
+        next.step(setup, host, node::Input::Propose { ticket, entry });
+        next.seal();
+        Some(next)
+    }
+
+    /// A replica that leads changes the membership.
+    pub fn change(&self, setup: &Setup, host: usize, index: usize) -> Option<Self> {
+        if !self.left.changes[index] || !leads(&self.hosts[host].node) {
+            return None;
+        }
+        let change = setup.changes[index].clone();
+        let mut next = self.after(format!("{host}: {change}"));
+        next.left.changes[index] = false;
+        let before = self.hosts[host].node.last();
+        let ticket = 1_000 + index as u64;
+        next.step(setup, host, node::Input::Change { ticket, change });
+        let taken = next.hosts[host].node.last() != before;
+        next.seal();
+        taken.then_some(next)
+    }
+
+    /// A replica's process ends and starts again; `landed` tells whether its pending records
+    /// reached the disk.
+    pub fn crash(&self, setup: &Setup, host: usize, landed: bool) -> Option<Self> {
+        let idle = self.hosts[host].pending.is_none();
+        if self.left.crashes[host] == 0 || (landed && idle) {
+            return None;
+        }
+        let mut next = self.after(format!("{host} restarts, pending records kept: {landed}"));
+        next.left.crashes[host] -= 1;
+        let restarted = &mut next.hosts[host];
+        if landed {
+            restarted.keep();
+        }
+        restarted.pending = None;
+        if setup.diskless == Some(host) {
+            restarted.disk = rc::Rc::default();
+            restarted.incarnation += u64::from(setup.mutant != Mutant::OldSelf);
+        }
+        let recovered = storage::Recovered {
+            incarnation: restarted.incarnation,
+            image: storage::Image::clone(&restarted.disk),
+        };
+        let config = config(setup, replicas(setup.hosts)[host].host.clone());
+        restarted.node = rc::Rc::new(node::Node::new(config, recovered));
+        restarted.seal();
+        next.seal();
+        Some(next)
+    }
+
+    /// A message arrives; `again` tells whether it is still under way afterwards.
+    pub fn deliver(&self, setup: &Setup, index: usize, again: bool) -> Option<Self> {
+        if again && self.left.duplicates == 0 {
+            return None;
+        }
+        let letter = self.letters.get(index)?.clone();
+        let (from, to) = (letter.from, letter.to);
+        let mut next = self.after(format!("{from} -> {to}: {:?}", letter.message.body));
+        if again {
+            next.left.duplicates -= 1;
+        } else {
+            next.letters.remove(index);
+        }
+        let input = node::Input::Message {
+            from: replicas(setup.hosts)[from].host.clone(),
+            message: message::Message::clone(&letter.message),
+        };
+        next.step(setup, to, input);
+        next.seal();
+        Some(next)
+    }
+
+    fn step(&mut self, setup: &Setup, host: usize, input: node::Input) {
+        let mut node = node::Node::clone(&self.hosts[host].node);
+        let outputs = node.step(input, NOW);
+        self.hosts[host].node = rc::Rc::new(node);
+        self.note_commit(host);
+        for output in outputs {
+            self.output(setup, host, output);
+        }
+        self.hosts[host].seal();
+        if self.hosts[host].pending.is_some() && !setup.slow_sync {
+            self.finish_sync(setup, host);
+        }
+    }
+
+    fn output(&mut self, setup: &Setup, host: usize, output: node::Output) {
+        match output {
+            node::Output::Send { to, message } => self.send(setup, host, &to, message),
+            node::Output::Lead { term } => self.note_leader(host, term),
+            node::Output::Persist { sequence, records } => {
+                self.hosts[host].pending = Some(rc::Rc::new(Pending { sequence, records }));
+                if setup.mutant == Mutant::SyncSkipped {
+                    self.hosts[host].pending = None;
+                    self.step(setup, host, node::Input::Synced { upto: sequence });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, setup: &Setup, from: usize, to: &id::Host, message: message::Message) {
+        let names = replicas(setup.hosts);
+        let Some(to) = names.iter().position(|replica| replica.host == *to) else {
+            return;
+        };
+        let cut = setup.cut.is_some_and(|cut| {
+            let ends = [from, to];
+            ends.contains(&cut) && ends.contains(&0)
+        });
+        if cut || is_idle(setup, &message.body) {
+            return;
+        }
+        let digest = digest_of(&(from, to, &message));
+        let message = rc::Rc::new(message);
+        self.letters.push(Letter {
+            from,
+            to,
+            message,
+            digest,
+        });
+    }
+
+    /// Checks that a term has one leader, and that it holds all that was committed in terms before.
+    /// A leader that is elected late, in a term that is over, may lack what came after.
+    fn note_leader(&mut self, host: usize, term: entry::Term) {
+        let other = self.leaders.insert(term, host);
+        if other.is_some_and(|other| other != host) {
+            self.violation = Some(format!("two leaders in term {term}"));
+        }
+        let node = &self.hosts[host].node;
+        let before = self.committed.iter().filter(|(_, known)| known.by < term);
+        for (version, known) in before {
+            let held = node.entry(*version).map(|entry| entry.position.term);
+            if held != Some(known.entry) {
+                self.violation = Some(format!("committed entry {version} is lost"));
+            }
+        }
+    }
+
+    fn note_commit(&mut self, host: usize) {
+        let node = rc::Rc::clone(&self.hosts[host].node);
+        for version in 1..=node.commit().0 {
+            let version = id::Version(version);
+            let Some(entry) = node.entry(version) else {
+                continue;
+            };
+            let found = Committed {
+                entry: entry.position.term,
+                by: node.term(),
+            };
+            let known = *self.committed.entry(version).or_insert(found);
+            if known.entry != found.entry {
+                self.violation = Some(format!("two entries are committed at {version}"));
+            }
+        }
+    }
+
+    /// Returns the greatest term of any replica.
+    pub fn term(&self) -> entry::Term {
+        let terms = self.hosts.iter().map(|host| host.node.term());
+        terms.max().unwrap_or_default()
+    }
+}
+
+/// The log's name.
+const GROUP: &str = "spec";
+
+fn config(setup: &Setup, host: id::Host) -> node::Config {
+    let mut config = node::Config::new(host, GROUP);
+    config.election = setup.election();
+    config.promote_lag = 0;
+    config
+}
+
+/// Tells whether a message is left out, as if lost: heartbeats, refusals, and pre-votes where
+/// they count as granted.
+fn is_idle(setup: &Setup, body: &message::Body) -> bool {
+    match body {
+        message::Body::Append(append) => append.entries.is_empty(),
+        message::Body::VoteReply(verdict) => !verdict.granted,
+        message::Body::PreVote(_) | message::Body::PreVoteReply(_) => !setup.asks_pre_votes(),
+        message::Body::Join | message::Body::Welcome(_) => true,
+        _ => false,
+    }
+}
