--- /dev/null
+++ b/crates/yucca-entry/src/version/sync.rs
@@ -0,0 +1,157 @@
+//! Keeps this host's table current: reports to control and takes in what the answers bring.
+
+use std::net;
+use std::sync;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use tokio::time;
+use yucca_own::delta;
+use yucca_wire::codec;
+use yucca_wire::report;
+use yucca_wire::table;
+
+use crate::process::lanes;
+use crate::process::shared;
+use crate::request::body;
+use crate::version::current;
+
+/// How long a report may wait for its answer beyond the time that control holds it back.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
+
+/// How long to wait before the next control process is asked after a failure.
+const RETRY_PAUSE: Duration = Duration::from_millis(50);
+
+/// Reports to control until the process stops.
+pub async fn run(shared: sync::Arc<shared::Shared>, incarnation: u64) {
+    let mut turn = 0;
+    let mut standing = Standing::Newer;
+    while shared.phase() != shared::Phase::Stopped {
+        let addresses = &shared.settings.control;
+        let Some(address) = addresses.get(turn % addresses.len().max(1)) else {
+            log::error!("no control process in the settings; set `control`");
+            return;
+        };
+        let sent = shared.now();
+        let exchanged = tokio::select! {
+            // What is urgent goes out in a new report; control has already heard this one.
+            () = shared.announced.urgent.notified() => continue,
+            exchanged = exchange(&shared, *address, incarnation, standing) => exchanged,
+        };
+        match exchanged {
+            Ok(update) => standing = take_in(&shared, update, sent),
+            Err(reason) => {
+                metrics::counter!("yucca_reports_failed_total").increment(1);
+                log::debug!("report to {address} failed: {reason}");
+                turn += 1;
+                time::sleep(RETRY_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn exchange(
+    shared: &sync::Arc<shared::Shared>,
+    address: net::SocketAddr,
+    incarnation: u64,
+    standing: Standing,
+) -> Result<report::Update, String> {
+    let report = compose(shared, incarnation, standing);
+    let message = codec::encode(shared.deployment, &report).map_err(|error| error.to_string())?;
+    let posted = shared
+        .peers
+        .post(address, report::PATH, body::full(message));
+    let limit = shared.settings.heartbeat.0 + ANSWER_TIMEOUT;
+    let answered = async {
+        let response = posted.await.map_err(|error| error.to_string())?;
+        let collected = response.into_body().collect().await;
+        collected
+            .map(|collected| collected.to_bytes())
+            .map_err(|error| error.to_string())
+    };
+    let bytes: Bytes = match time::timeout(limit, answered).await {
+        Ok(Ok(bytes)) => bytes,
+        Ok(Err(reason)) => return Err(reason),
+        Err(_) => return Err("no answer in time".into()),
+    };
+    codec::decode(shared.deployment, &bytes).map_err(|error| error.to_string())
+}
+
+fn compose(
+    shared: &sync::Arc<shared::Shared>,
+    incarnation: u64,
+    standing: Standing,
+) -> report::Report {
+    let versions = match standing {
+        Standing::Newer => shared.current.versions(),
+        Standing::Whole => current::Versions::default(),
+    };
+    report::Report {
+        host: shared.settings.host.clone(),
+        incarnation,
+        global: versions.global,
+        locals: versions.locals,
+        announced: shared.announced.drain(),
+        lanes: lanes::report(shared),
+        stopping: shared.phase() == shared::Phase::Stopping,
+    }
+}
+
+/// Parts of a table that an update brought.
+type Parts = (
+    Option<sync::Arc<table::Global>>,
+    Vec<sync::Arc<table::Local>>,
+);
+
+fn apply(held: &table::Table, update: report::Update) -> Result<Parts, delta::Error> {
+    let global = match update.global {
+        Some(change) => Some(sync::Arc::new(delta::apply(Some(&*held.global), change)?)),
+        None => None,
+    };
+    let mut locals = Vec::with_capacity(update.locals.len());
+    for change in update.locals {
+        let domain = match &change {
+            report::Change::Snapshot(local) => &local.domain,
+            report::Change::Delta { changed, .. } => &changed.domain,
+        };
+        let known = held.locals.get(domain);
+        let local = delta::apply(known.map(|known| &**known), change)?;
+        locals.push(sync::Arc::new(local));
+    }
+    Ok((global, locals))
+}
+
+/// What the next report asks for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Standing {
+    /// What is newer than what is in force here.
+    Newer,
+    /// Everything, because a delta did not fit.
+    Whole,
+}
+
+fn take_in(shared: &sync::Arc<shared::Shared>, update: report::Update, sent: Duration) -> Standing {
+    lanes::renew(shared, &update, sent);
+    let earlier = shared.current.load();
+    let Ok((global, locals)) = apply(&earlier.table, update) else {
+        metrics::counter!("yucca_deltas_refused_total").increment(1);
+        return Standing::Whole;
+    };
+    if shared.current.advance(global, locals) {
+        lanes::reconcile(shared, &earlier.table);
+    }
+    let current = shared.current.load();
+    let known = current.table.global.version.0 > 0
+        && current.table.locals.contains_key(&shared.settings.domain);
+    if known && shared.phase() == shared::Phase::Starting {
+        shared.phase.send_replace(shared::Phase::Ready);
+        log::info!(
+            "host {} of {} is ready at version {}",
+            shared.settings.host,
+            shared.settings.domain,
+            current.table.global.version
+        );
+    }
+    Standing::Newer
+}
