--- a/crates/yucca-log/examples/bench/group.rs
+++ b/crates/yucca-log/examples/bench/group.rs
@@ -180,7 +180,8 @@
                 }
                 node::Output::TakeSnapshot { version } => {
                     let state = bytes::Bytes::from_static(b"state");
-                    let _ = node.step(node::Input::Snapshot { version, state }, start.elapsed());
+                    let input = node::Input::Snapshot { version, state };
+                    let _ = wires[index].lock().unwrap().send(Some(input));
                 }
                 node::Output::Proposed { .. } | node::Output::Lead { .. } => {
                     let _ = report.send(Event {
--- a/crates/yucca-log/src/entry.rs
+++ b/crates/yucca-log/src/entry.rs
@@ -21,7 +21,7 @@
 impl Term {
     /// Returns the term after this one.
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
@@ -108,5 +108,5 @@
 
 /// Returns the version after the given one.
 pub(crate) fn after(version: id::Version) -> id::Version {
-    id::Version(version.0 + 1)
+    id::Version(version.0.saturating_add(1))
 }
--- a/crates/yucca-log/src/log.rs
+++ b/crates/yucca-log/src/log.rs
@@ -90,7 +90,7 @@
     }
 
     fn index(&self, version: id::Version) -> Option<usize> {
-        let offset = version.0.checked_sub(self.base.version.0 + 1)?;
+        let offset = version.0.checked_sub(self.base.version.0)?.checked_sub(1)?;
         usize::try_from(offset).ok()
     }
 
--- a/crates/yucca-log/src/node/config.rs
+++ b/crates/yucca-log/src/node/config.rs
@@ -27,6 +27,8 @@
     pub max_entry_bytes: usize,
     /// The most bytes of proposals that are not committed.
     pub max_pending_bytes: usize,
+    /// The largest snapshot that is taken from a leader, in bytes.
+    pub max_snapshot_bytes: usize,
     /// The bytes of one chunk of a snapshot.
     pub chunk_bytes: usize,
     /// How many applied entries call for a snapshot.
@@ -50,6 +52,7 @@
             max_append_bytes: 256 << 10,
             max_entry_bytes: 4 << 20,
             max_pending_bytes: 16 << 20,
+            max_snapshot_bytes: 128 << 20,
             chunk_bytes: 256 << 10,
             snapshot_entries: 10_000,
             keep_entries: 1_000,
--- a/crates/yucca-log/src/node/follower.rs
+++ b/crates/yucca-log/src/node/follower.rs
@@ -37,12 +37,15 @@
         if !self.obey(&sender, term, append.round) {
             return;
         }
+        if !is_sound(&append, term) {
+            return;
+        }
         if let Some(misfit) = self.misfit(append.previous) {
             self.reject(&sender, append.round, misfit);
             return;
         }
         let count = append.entries.len() as u64;
-        let matched = id::Version(append.previous.version.0 + count);
+        let matched = id::Version(append.previous.version.0.saturating_add(count));
         if count > 0 && self.writer.is_full() {
             return;
         }
@@ -138,6 +141,20 @@
     }
 }
 
+/// Tells whether entries follow on their position without a gap, in terms that do not fall.
+fn is_sound(append: &message::Append, term: entry::Term) -> bool {
+    let mut before = append.previous;
+    for entry in &append.entries {
+        let position = entry.position;
+        let follows = before.version.0.checked_add(1) == Some(position.version.0);
+        if !follows || position.term < before.term {
+            return false;
+        }
+        before = position;
+    }
+    before.term <= term
+}
+
 /// Returns the answer to entries that fit.
 pub(super) fn accepted(round: u64, matched: id::Version) -> message::Body {
     message::Body::AppendReply(message::AppendReply {
--- a/crates/yucca-log/src/node/replicate.rs
+++ b/crates/yucca-log/src/node/replicate.rs
@@ -144,7 +144,7 @@
         let sent = lead.rounds.iter().find(|r| r.number == round);
         let sent = sent.map_or(Duration::ZERO, |r| r.sent);
         progress.heard = progress.heard.max(sent);
-        progress.round = progress.round.max(round);
+        progress.round = progress.round.max(round.min(lead.round));
         progress.answered = true;
         true
     }
@@ -158,10 +158,11 @@
         if !self.hear(sender, term, reply.round) {
             return;
         }
+        let last = self.log.last().version;
         if let Some(progress) = self.progress(sender) {
             match reply.misfit {
-                Some(misfit) => progress.reject(misfit),
-                None => progress.accept(reply.matched),
+                Some(misfit) => progress.reject(misfit, last),
+                None => progress.accept(reply.matched.min(last)),
             }
         }
         self.hand_over();
--- a/crates/yucca-log/src/node/snapshot.rs
+++ b/crates/yucca-log/src/node/snapshot.rs
@@ -134,7 +134,8 @@
         term: entry::Term,
         chunk: message::Chunk,
     ) {
-        if !self.obey(&sender, term, chunk.round) || self.writer.is_full() {
+        let large = chunk.total > self.config.max_snapshot_bytes as u64;
+        if !self.obey(&sender, term, chunk.round) || self.writer.is_full() || large {
             return;
         }
         let version = chunk.position.version;
@@ -173,7 +174,8 @@
             return 0;
         };
         let held = incoming.data.len() as u64;
-        if chunk.offset == held {
+        let fits = held + chunk.data.len() as u64 <= chunk.total;
+        if chunk.offset == held && fits {
             incoming.data.extend_from_slice(&chunk.data);
         }
         incoming.data.len() as u64
--- a/crates/yucca-log/src/node/writer.rs
+++ b/crates/yucca-log/src/node/writer.rs
@@ -169,7 +169,7 @@
 
 fn follows(before: &[entry::Entry], after: &[entry::Entry]) -> bool {
     match (before.last(), after.first()) {
-        (Some(last), Some(first)) => last.version().0 + 1 == first.version().0,
+        (Some(last), Some(first)) => entry::after(last.version()) == first.version(),
         _ => false,
     }
 }
--- a/crates/yucca-log/src/progress.rs
+++ b/crates/yucca-log/src/progress.rs
@@ -59,7 +59,7 @@
     }
 
     pub fn previous(&self) -> id::Version {
-        id::Version(self.next.0 - 1)
+        id::Version(self.next.0.saturating_sub(1))
     }
 
     pub fn accept(&mut self, matched: id::Version) {
@@ -76,14 +76,15 @@
         }
     }
 
-    pub fn reject(&mut self, misfit: message::Misfit) {
+    pub fn reject(&mut self, misfit: message::Misfit, last: id::Version) {
         let stale = misfit.previous <= self.matched;
         let answered = self.probing && misfit.previous != self.previous();
         if stale || answered {
             return;
         }
         self.probing = true;
-        self.next = entry::after(misfit.retry_after.max(self.matched));
+        let retry_after = misfit.retry_after.min(last).max(self.matched);
+        self.next = entry::after(retry_after);
         self.inflight = 0;
     }
 
@@ -94,7 +95,7 @@
         }
         self.inflight += 1;
         if !self.probing {
-            self.next = id::Version(self.next.0 + count);
+            self.next = id::Version(self.next.0.saturating_add(count));
         }
     }
 
