--- a/crates/yucca-spec/src/lib.rs
+++ b/crates/yucca-spec/src/lib.rs
@@ -1,5 +1,8 @@
-//! Under construction; see `docs/design/`.
-pub mod leave;
+//! Small specifications of the core protocols, searched exhaustively.
 
 pub mod grant;
+pub mod leave;
+pub mod quorum;
+pub mod replica;
+pub mod search;
 pub mod ticket;
