Control: a setting for the address from which peers are dialled

Cause: as for entry processes, a host with several addresses, and a test that tells the domains of callers apart, need it. Change: the optional setting addresses.local; http::Client::from_local.

--- a/crates/yucca-control/src/peer/http.rs
+++ b/crates/yucca-control/src/peer/http.rs
@@ -1,5 +1,6 @@
 //! Calls over HTTP.
 
+use std::net;
 use std::time;
 
 use bytes::Bytes;
@@ -31,7 +32,13 @@
 impl Client {
     /// Returns a client that shows `secret`.
     pub fn new(secret: &auth::Secret) -> Self {
+        Self::from_local(secret, None)
+    }
+
+    /// Returns a client that shows `secret` and opens connections from `local`, where given.
+    pub fn from_local(secret: &auth::Secret, local: Option<net::IpAddr>) -> Self {
         let mut connector = legacy::connect::HttpConnector::new();
+        connector.set_local_address(local);
         connector.set_nodelay(true);
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         let client = legacy::Client::builder(rt::TokioExecutor::new())
--- a/crates/yucca-control/src/process.rs
+++ b/crates/yucca-control/src/process.rs
@@ -80,7 +80,8 @@
     /// # Errors
     /// Fails where an address cannot be had or the storage cannot be opened.
     pub async fn start(settings: settings::Settings) -> Result<Self, Error> {
-        let client = peer::http::Client::new(&settings.secrets.peer);
+        let client =
+            peer::http::Client::from_local(&settings.secrets.peer, settings.addresses.local);
         let addresses = settings.addresses.clone();
         let core = core::Core::new(settings, sync::Arc::new(client), rand::random());
         let services = request::Services::new(&core);
--- a/crates/yucca-control/src/settings.rs
+++ b/crates/yucca-control/src/settings.rs
@@ -41,6 +41,9 @@
         pub peer: net::SocketAddr,
         /// For `/ready`, `/live` and `/metrics`.
         pub health: net::SocketAddr,
+        /// The IP address from which connections to peers are opened; the system chooses one
+        /// where it is absent.
+        pub local: Option<net::IpAddr>,
     }
 }
 
