yucca-dev: hosts with entry and control processes, and the binary

Each host starts its entry and control process behind forwarders; the binary submits the sample ticket, waits until every entry host serves every service and prints the ready line. Not yet seen to become ready: control of this version hears HTTP/1 only, entry processes report over HTTP/2.

--- a/crates/yucca-dev/src/cluster/fault.rs
+++ b/crates/yucca-dev/src/cluster/fault.rs
@@ -64,6 +64,16 @@
         /// The host.
         host: id::Host,
     },
+    /// The control process of a host ends abruptly.
+    StopControl {
+        /// The host.
+        host: id::Host,
+    },
+    /// The control process of a host starts again, at the same addresses and with its disk.
+    StartControl {
+        /// The host.
+        host: id::Host,
+    },
     /// Two domains lose each other.
     Cut {
         /// One domain.
--- a/crates/yucca-dev/src/cluster/host.rs
+++ b/crates/yucca-dev/src/cluster/host.rs
@@ -1,11 +1,11 @@
 //! One host of a deployment: its addresses and its processes.
 
 use std::net;
+use std::path;
 use std::sync;
 
-use yucca_entry::process;
-use yucca_entry::process::running;
-use yucca_entry::settings;
+use yucca_control::process as control;
+use yucca_entry::process as entry;
 use yucca_wire::auth;
 use yucca_wire::id;
 
@@ -19,16 +19,28 @@
 /// The secret of peers; a stand-in deployment guards nothing.
 const PEER_SECRET: &str = "a stand-in secret of peers";
 
-/// Where a host is to listen.
+/// A host's listeners, by their offsets from the first of its ports.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Listener {
+    Callers = 0,
+    EntryPeer = 1,
+    ControlPeer = 2,
+    Announce = 3,
+    Balancer = 4,
+    Operator = 5,
+    Health = 6,
+}
+
+/// A host that is to be started.
 #[derive(Debug, Clone)]
 pub struct Plan {
     /// The host.
     pub name: id::Host,
     /// Its failure domain.
     pub domain: id::Domain,
-    /// The number of that domain.
+    /// Whether it has a disk.
+    pub disk: bool,
     number: relay::Domain,
-    /// The first of its ports; none takes free ones.
     port: Option<u16>,
 }
 
@@ -40,11 +52,12 @@
     let malformed = |error| Error::Deployment(deployment::Error::Id(error));
     let mut plans = Vec::new();
     for (index, (domain, stated)) in deployment.ticket.domains.iter().enumerate() {
-        for name in stated.hosts.keys() {
+        for (name, host) in &stated.hosts {
             let offset = HOST_PORTS.saturating_mul(plans.len() as u16);
             plans.push(Plan {
                 name: name.parse().map_err(malformed)?,
                 domain: domain.parse().map_err(malformed)?,
+                disk: host.disk,
                 number: relay::Domain::numbered(index),
                 port: port.map(|port| port.saturating_add(offset)),
             });
@@ -54,116 +67,198 @@
 }
 
 impl Plan {
-    /// Returns the address of the listener with this offset from the host's first port.
-    fn listen(&self, offset: u16) -> net::SocketAddr {
+    fn listen(&self, listener: Listener) -> net::SocketAddr {
+        let offset = listener as u16;
         let port = self.port.map_or(0, |port| port.saturating_add(offset));
         net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, port))
     }
 
-    fn settings(&self, control: Option<net::SocketAddr>) -> settings::Settings {
-        let any = net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0));
-        let mut made = settings::Settings::new("yucca-dev", self.name.clone(), self.domain.clone());
-        made.callers = self.listen(0);
-        // The relay takes the host's own port and forwards to this one.
-        made.peer = any;
-        made.announce = self.listen(3);
-        made.balancer = self.listen(4);
+    /// Relays take the host's own peer ports and forward to ports that the system chooses.
+    fn behind_relay() -> net::SocketAddr {
+        net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0))
+    }
+
+    fn entry_settings(&self) -> yucca_entry::settings::Settings {
+        let mut made = yucca_entry::settings::Settings::new(
+            super::DEPLOYMENT,
+            self.name.clone(),
+            self.domain.clone(),
+        );
+        made.callers = self.listen(Listener::Callers);
+        made.peer = Self::behind_relay();
+        made.announce = self.listen(Listener::Announce);
+        made.balancer = self.listen(Listener::Balancer);
         made.local = Some(self.number.source());
-        made.control = control.into_iter().collect();
         made.peer_secret = auth::Secret::new(PEER_SECRET);
         made.announce_secret = auth::Secret::new(super::ANNOUNCE_SECRET);
         made
     }
+
+    fn control_settings(&self, data: &path::Path) -> yucca_control::settings::Settings {
+        use yucca_control::settings;
+        use yucca_wire::unit::Span;
+        settings::Settings {
+            deployment: super::DEPLOYMENT.into(),
+            host: self.name.clone(),
+            domain: self.domain.clone(),
+            data: self.disk.then(|| data.join(self.name.as_str())),
+            addresses: settings::Addresses {
+                operator: self.listen(Listener::Operator),
+                peer: Self::behind_relay(),
+                health: self.listen(Listener::Health),
+                local: Some(self.number.source()),
+            },
+            secrets: settings::Secrets {
+                operator: auth::Secret::new(super::OPERATOR_SECRET),
+                peer: auth::Secret::new(PEER_SECRET),
+            },
+            timing: settings::Timing {
+                heartbeat: Span::from_millis(200),
+                plan: Span::from_millis(100),
+                answer: Span::from_millis(1000),
+                accept: Span::from_millis(5000),
+                stop: Span::from_millis(5000),
+            },
+            peers: Vec::new(),
+        }
+    }
 }
 
 /// A host of a deployment.
 pub struct Host {
     /// Its failure domain.
     pub domain: id::Domain,
-    /// The settings of its entry process, with the addresses that are bound.
-    pub settings: settings::Settings,
-    /// Its entry process, where it runs.
-    pub entry: Option<process::Process>,
-    bound: Option<running::Bound>,
-    relay: relay::Relay,
+    /// The settings of its entry process; the addresses are those bound once it has started.
+    pub entry_settings: yucca_entry::settings::Settings,
+    /// The settings of its control process, likewise.
+    pub control_settings: yucca_control::settings::Settings,
+    entry: Option<entry::Process>,
+    control: Option<control::Process>,
+    entry_relay: relay::Relay,
+    control_relay: relay::Relay,
+    disk: bool,
 }
 
 impl Host {
-    /// Binds the listeners of a host.
+    /// Binds the addresses at which other hosts reach this one; its processes start later.
     ///
     /// # Errors
     /// Fails where an address cannot be bound.
     pub async fn bind(
         plan: Plan,
-        control: Option<net::SocketAddr>,
-        cuts: sync::Arc<relay::Cuts>,
+        data: &path::Path,
+        cuts: &sync::Arc<relay::Cuts>,
     ) -> Result<Self, Error> {
-        let mut settings = plan.settings(control);
-        let bound = running::Bound::bind(settings.clone()).await;
-        let bound = bound.map_err(Error::Entry)?;
-        let addresses = bound.addresses();
-        settings.callers = addresses.callers;
-        settings.peer = addresses.peer;
-        settings.balancer = addresses.balancer;
-        settings.announce = addresses.announce;
-        let listen = plan.listen(1);
-        let relay = relay::Relay::start(listen, addresses.peer, plan.number, cuts).await;
-        let relay = relay.map_err(|source| Error::Listen {
-            address: listen,
-            source,
-        })?;
+        let relay = async |listener| {
+            let address = plan.listen(listener);
+            let started = relay::Relay::start(address, plan.number, cuts.clone()).await;
+            started.map_err(|source| Error::Listen { address, source })
+        };
         Ok(Self {
+            entry_relay: relay(Listener::EntryPeer).await?,
+            control_relay: relay(Listener::ControlPeer).await?,
+            entry_settings: plan.entry_settings(),
+            control_settings: plan.control_settings(data),
             domain: plan.domain,
-            settings,
+            disk: plan.disk,
             entry: None,
-            bound: Some(bound),
-            relay,
+            control: None,
         })
     }
 
-    /// Starts the entry process on the bound listeners.
-    pub fn start_bound(&mut self) {
-        self.entry = self.bound.take().map(|bound| bound.start(None));
+    /// Returns the address at which other hosts reach the entry process.
+    pub fn entry_peer(&self) -> net::SocketAddr {
+        self.entry_relay.address()
     }
 
-    /// Returns the address at which other hosts reach the entry process.
-    pub fn peer(&self) -> net::SocketAddr {
-        self.relay.address()
+    /// Returns the address at which other hosts reach the control process.
+    pub fn control_peer(&self) -> net::SocketAddr {
+        self.control_relay.address()
     }
 
-    /// Takes the entry process out, to be stopped.
+    /// Returns how other control processes know this host's.
+    pub fn founder(&self) -> yucca_control::settings::Peer {
+        yucca_control::settings::Peer {
+            host: self.entry_settings.host.clone(),
+            domain: self.domain.clone(),
+            address: self.control_peer(),
+            disk: self.disk,
+        }
+    }
+
+    /// Returns the entry process, where it runs.
+    pub fn entry(&self) -> Option<&entry::Process> {
+        self.entry.as_ref()
+    }
+
+    /// Returns the control process, where it runs.
+    pub fn control(&self) -> Option<&control::Process> {
+        self.control.as_ref()
+    }
+
+    /// Starts the entry process. One that ran before is started at the same addresses.
     ///
     /// # Errors
-    /// Fails where it does not run.
-    pub fn take(&mut self) -> Result<process::Process, Error> {
-        self.entry.take().ok_or_else(|| Error::State {
-            host: self.settings.host.clone(),
-            state: "not running",
-        })
+    /// Fails where it runs, or an address cannot be bound.
+    pub async fn start_entry(&mut self) -> Result<(), Error> {
+        if self.entry.is_some() {
+            return Err(self.state("running"));
+        }
+        let settings = self.entry_settings.clone();
+        let started = entry::Process::start(settings).await;
+        let process = started.map_err(Error::Entry)?;
+        let addresses = process.addresses();
+        self.entry_settings.callers = addresses.callers;
+        self.entry_settings.peer = addresses.peer;
+        self.entry_settings.balancer = addresses.balancer;
+        self.entry_settings.announce = addresses.announce;
+        self.entry_relay.point(addresses.peer);
+        self.entry = Some(process);
+        Ok(())
     }
 
-    /// Ends the entry process abruptly.
+    /// Starts the control process. One that ran before is started at the same addresses.
     ///
     /// # Errors
-    /// Fails where it does not run.
-    pub fn abort(&mut self) -> Result<(), Error> {
-        self.take()?.abort();
+    /// Fails where it runs, an address cannot be bound or its storage cannot be opened.
+    pub async fn start_control(&mut self) -> Result<(), Error> {
+        if self.control.is_some() {
+            return Err(self.state("running"));
+        }
+        let settings = self.control_settings.clone();
+        let started = control::Process::start(settings).await;
+        let process = started.map_err(Error::Control)?;
+        let addresses = process.addresses();
+        self.control_settings.addresses.operator = addresses.operator;
+        self.control_settings.addresses.peer = addresses.peer;
+        self.control_settings.addresses.health = addresses.health;
+        self.control_relay.point(addresses.peer);
+        self.control = Some(process);
         Ok(())
     }
 
-    /// Starts the entry process again, at the same addresses.
+    /// Takes the entry process out, to be stopped.
     ///
     /// # Errors
-    /// Fails where it runs, or an address is taken.
-    pub async fn restart(&mut self) -> Result<(), Error> {
-        if self.entry.is_some() {
-            return Err(Error::State {
-                host: self.settings.host.clone(),
-                state: "running",
-            });
+    /// Fails where it does not run.
+    pub fn take_entry(&mut self) -> Result<entry::Process, Error> {
+        let process = self.entry.take();
+        process.ok_or_else(|| self.state("not running"))
+    }
+
+    /// Takes the control process out, to be stopped.
+    ///
+    /// # Errors
+    /// Fails where it does not run.
+    pub fn take_control(&mut self) -> Result<control::Process, Error> {
+        let process = self.control.take();
+        process.ok_or_else(|| self.state("not running"))
+    }
+
+    fn state(&self, state: &'static str) -> Error {
+        Error::State {
+            host: self.entry_settings.host.clone(),
+            state,
         }
-        let started = process::Process::start(self.settings.clone()).await;
-        self.entry = Some(started.map_err(Error::Entry)?);
-        Ok(())
     }
 }
--- a/crates/yucca-dev/src/cluster/mod.rs
+++ b/crates/yucca-dev/src/cluster/mod.rs
@@ -4,6 +4,7 @@
 pub mod faults;
 mod host;
 pub mod relay;
+pub mod start;
 
 use std::fmt;
 use std::net;
@@ -12,7 +13,7 @@
 
 use indexmap::IndexMap;
 use serde::Serialize;
-use tokio::sync::Mutex;
+use tokio::sync::{MappedMutexGuard, Mutex, MutexGuard};
 use yucca_wire::auth;
 use yucca_wire::id;
 use yucca_wire::ticket;
@@ -23,6 +24,12 @@
 use crate::load::place;
 use crate::target;
 
+/// The name of the deployment.
+const DEPLOYMENT: &str = "yucca-dev";
+
+/// The secret of operators, which the stand-in deployment's own calls and its user show.
+pub const OPERATOR_SECRET: &str = "a stand-in secret of operators";
+
 /// The secret of targets that announce themselves.
 const ANNOUNCE_SECRET: &str = "a stand-in secret of targets";
 
@@ -48,6 +55,10 @@
     Deployment(deployment::Error),
     /// An entry process does not start.
     Entry(yucca_entry::process::Error),
+    /// A control process does not start.
+    Control(yucca_control::process::Error),
+    /// The folder of the hosts' disks cannot be made.
+    Data(std::io::Error),
     /// The targets do not start.
     Fleet(fleet::Error),
     /// A listener of the deployment's own does not start.
@@ -57,6 +68,11 @@
         /// The operating system's reason.
         source: std::io::Error,
     },
+    /// The deployment's ticket is refused.
+    Ticket {
+        /// The answer.
+        reason: String,
+    },
     /// A fault names something that is not there.
     Unknown {
         /// What it is: a target, host or domain.
@@ -78,6 +94,13 @@
         match self {
             Self::Deployment(error) => error.fmt(f),
             Self::Entry(error) => error.fmt(f),
+            Self::Control(error) => error.fmt(f),
+            Self::Data(error) => {
+                write!(
+                    f,
+                    "cannot make a folder for data: {error}; set TMPDIR to one that can"
+                )
+            }
             Self::Fleet(error) => error.fmt(f),
             Self::Listen { address, source } => {
                 write!(
@@ -85,6 +108,7 @@
                     "cannot listen on {address}: {source}; use another --port"
                 )
             }
+            Self::Ticket { reason } => write!(f, "the sample ticket is refused: {reason}"),
             Self::Unknown { what, name } => write!(
                 f,
                 "there is no {what} {name:?}; GET /targets and GET /hosts list what there is"
@@ -111,8 +135,12 @@
     pub balancer: net::SocketAddr,
     /// Where targets announce themselves.
     pub announce: net::SocketAddr,
+    /// Where operators reach its control process.
+    pub operator: net::SocketAddr,
     /// Whether its entry process runs.
     pub entry: bool,
+    /// Whether its control process runs.
+    pub control: bool,
 }
 
 /// A running deployment.
@@ -122,6 +150,8 @@
     served: sync::Mutex<fleet::Fleet>,
     spare: fleet::Fleet,
     cuts: sync::Arc<relay::Cuts>,
+    /// The hosts' disks, removed with the deployment.
+    _data: tempfile::TempDir,
 }
 
 impl Cluster {
@@ -131,17 +161,14 @@
     /// Fails where the deployment is malformed or an address cannot be bound.
     pub async fn start(settings: Settings) -> Result<Self, Error> {
         let deployment = &settings.deployment;
+        let data = tempfile::tempdir().map_err(Error::Data)?;
         let cuts = sync::Arc::new(relay::Cuts::default());
-        let plans = host::plan(deployment, settings.port)?;
         let mut hosts = IndexMap::new();
-        for plan in plans {
+        for plan in host::plan(deployment, settings.port)? {
             let name = plan.name.clone();
-            let host = host::Host::bind(plan, settings.control, cuts.clone()).await?;
-            hosts.insert(name, host);
-        }
-        for host in hosts.values_mut() {
-            host.start_bound();
+            hosts.insert(name, host::Host::bind(plan, data.path(), &cuts).await?);
         }
+        start_hosts(&mut hosts, settings.control).await?;
         let fleet = fleet::Settings {
             ip: net::Ipv4Addr::LOCALHOST.into(),
             warmup: settings.warmup,
@@ -160,6 +187,7 @@
             spare: spare.map_err(Error::Fleet)?,
             hosts: Mutex::new(hosts),
             cuts,
+            _data: data,
             deployment: settings.deployment,
         })
     }
@@ -172,7 +200,8 @@
             let domain = ticket.domains.get_mut(host.domain.as_str());
             let stated = domain.and_then(|domain| domain.hosts.get_mut(name.as_str()));
             if let Some(stated) = stated {
-                stated.peer = host.peer().to_string();
+                stated.peer = host.entry_peer().to_string();
+                stated.control = host.control_peer().to_string();
             }
         }
         ticket
@@ -183,22 +212,34 @@
         let hosts = self.hosts.lock().await;
         let entries = hosts.values().map(|host| place::Entry {
             domain: host.domain.clone(),
-            callers: host.settings.callers,
+            callers: host.entry_settings.callers,
         });
         entries.collect()
     }
 
+    /// Returns where operators reach the first host's control process.
+    pub async fn operator(&self) -> net::SocketAddr {
+        let hosts = self.hosts.lock().await;
+        let first = hosts.values().next();
+        first.map_or_else(
+            || net::SocketAddr::from((net::Ipv4Addr::LOCALHOST, 0)),
+            |host| host.control_settings.addresses.operator,
+        )
+    }
+
     /// Returns all hosts and whether their processes run.
     pub async fn host_list(&self) -> Vec<Listed> {
         let hosts = self.hosts.lock().await;
         let list = hosts.iter().map(|(name, host)| Listed {
             host: name.clone(),
             domain: host.domain.clone(),
-            callers: host.settings.callers,
-            peer: host.peer(),
-            balancer: host.settings.balancer,
-            announce: host.settings.announce,
-            entry: host.entry.is_some(),
+            callers: host.entry_settings.callers,
+            peer: host.entry_peer(),
+            balancer: host.entry_settings.balancer,
+            announce: host.entry_settings.announce,
+            operator: host.control_settings.addresses.operator,
+            entry: host.entry().is_some(),
+            control: host.control().is_some(),
         });
         list.collect()
     }
@@ -206,7 +247,7 @@
     /// Waits until every entry host that runs has taken in a version.
     pub async fn ready(&self) {
         let hosts = self.hosts.lock().await;
-        for process in hosts.values().filter_map(|host| host.entry.as_ref()) {
+        for process in hosts.values().filter_map(host::Host::entry) {
             process.ready().await;
         }
     }
@@ -245,9 +286,21 @@
                 let lost = self.served().lose(&target);
                 lost.then_some(()).ok_or_else(|| unknown("target", &target))
             }
-            Fault::StopEntry { host } => self.with_host(&host, host::Host::abort).await,
-            Fault::StartEntry { host } => self.start_entry(&host).await,
-            Fault::DrainEntry { host } => self.drain_entry(&host).await,
+            Fault::StopEntry { host } => {
+                self.host(&host).await?.take_entry()?.abort();
+                Ok(())
+            }
+            Fault::StartEntry { host } => self.host(&host).await?.start_entry().await,
+            Fault::DrainEntry { host } => {
+                let process = self.host(&host).await?.take_entry()?;
+                process.stop().await;
+                Ok(())
+            }
+            Fault::StopControl { host } => {
+                self.host(&host).await?.take_control()?.abort();
+                Ok(())
+            }
+            Fault::StartControl { host } => self.host(&host).await?.start_control().await,
             Fault::Cut { one, other } => {
                 self.cuts.cut(self.pair(&one, &other)?);
                 Ok(())
@@ -276,29 +329,10 @@
         Ok(())
     }
 
-    async fn with_host(
-        &self,
-        name: &id::Host,
-        act: impl FnOnce(&mut host::Host) -> Result<(), Error>,
-    ) -> Result<(), Error> {
-        let mut hosts = self.hosts.lock().await;
-        let host = hosts.get_mut(name).ok_or_else(|| unknown("host", name))?;
-        act(host)
-    }
-
-    async fn start_entry(&self, name: &id::Host) -> Result<(), Error> {
-        let mut hosts = self.hosts.lock().await;
-        let host = hosts.get_mut(name).ok_or_else(|| unknown("host", name))?;
-        host.restart().await
-    }
-
-    async fn drain_entry(&self, name: &id::Host) -> Result<(), Error> {
-        let mut hosts = self.hosts.lock().await;
-        let host = hosts.get_mut(name).ok_or_else(|| unknown("host", name))?;
-        let process = host.take()?;
-        drop(hosts);
-        process.stop().await;
-        Ok(())
+    async fn host(&self, name: &id::Host) -> Result<MappedMutexGuard<'_, host::Host>, Error> {
+        let hosts = self.hosts.lock().await;
+        let found = MutexGuard::try_map(hosts, |hosts| hosts.get_mut(name));
+        found.map_err(|_| unknown("host", name))
     }
 
     fn pair(&self, one: &id::Domain, other: &id::Domain) -> Result<relay::Pair, Error> {
@@ -319,13 +353,39 @@
     }
 }
 
+/// Starts the processes of all hosts; control processes only where none is elsewhere.
+async fn start_hosts(
+    hosts: &mut IndexMap<id::Host, host::Host>,
+    elsewhere: Option<net::SocketAddr>,
+) -> Result<(), Error> {
+    let founders: Vec<_> = hosts.values().map(host::Host::founder).collect();
+    for host in hosts.values_mut() {
+        let domain = founders.iter().filter(|other| other.domain == host.domain);
+        let (own, others): (Vec<_>, Vec<_>) =
+            domain.partition(|other| other.host == host.entry_settings.host);
+        let control = own.into_iter().chain(others).map(|other| other.address);
+        host.entry_settings.control = match elsewhere {
+            Some(elsewhere) => vec![elsewhere],
+            None => control.collect(),
+        };
+        host.control_settings.peers = founders.clone();
+        if elsewhere.is_none() {
+            host.start_control().await?;
+        }
+    }
+    for host in hosts.values_mut() {
+        host.start_entry().await?;
+    }
+    Ok(())
+}
+
 fn announce_hosts(
     hosts: &IndexMap<id::Host, host::Host>,
 ) -> IndexMap<id::Domain, Vec<net::SocketAddr>> {
     let mut found: IndexMap<id::Domain, Vec<net::SocketAddr>> = IndexMap::new();
     for host in hosts.values() {
         let addresses = found.entry(host.domain.clone()).or_default();
-        addresses.push(host.settings.announce);
+        addresses.push(host.entry_settings.announce);
     }
     found
 }
--- a/crates/yucca-dev/src/cluster/relay.rs
+++ b/crates/yucca-dev/src/cluster/relay.rs
@@ -95,30 +95,37 @@
 #[derive(Debug)]
 pub struct Relay {
     address: net::SocketAddr,
+    to: watch::Sender<Option<net::SocketAddr>>,
     task: task::JoinHandle<()>,
 }
 
 impl Relay {
-    /// Starts a forwarder on `listen` to a host of `domain`.
+    /// Starts a forwarder on `listen` to a host of `domain`; it refuses connections until it is
+    /// told where that host listens.
     ///
     /// # Errors
     /// Fails where the address cannot be bound.
     pub async fn start(
         listen: net::SocketAddr,
-        to: net::SocketAddr,
         domain: Domain,
         cuts: sync::Arc<Cuts>,
     ) -> io::Result<Self> {
         let listener = TcpListener::bind(listen).await?;
         let address = listener.local_addr()?;
-        let task = tokio::spawn(accept(listener, to, domain, cuts));
-        Ok(Self { address, task })
+        let to = watch::Sender::new(None);
+        let task = tokio::spawn(accept(listener, to.subscribe(), domain, cuts));
+        Ok(Self { address, to, task })
     }
 
     /// Returns where it listens.
     pub fn address(&self) -> net::SocketAddr {
         self.address
     }
+
+    /// Sets where the host listens.
+    pub fn point(&self, to: net::SocketAddr) {
+        self.to.send_replace(Some(to));
+    }
 }
 
 impl Drop for Relay {
@@ -127,13 +134,19 @@
     }
 }
 
-async fn accept(listener: TcpListener, to: net::SocketAddr, domain: Domain, cuts: sync::Arc<Cuts>) {
+async fn accept(
+    listener: TcpListener,
+    to: watch::Receiver<Option<net::SocketAddr>>,
+    domain: Domain,
+    cuts: sync::Arc<Cuts>,
+) {
     let mut connections = task::JoinSet::new();
     loop {
         tokio::select! {
             Some(_) = connections.join_next() => {}
             accepted = listener.accept() => {
-                let Ok((stream, source)) = accepted else {
+                let to = *to.borrow();
+                let (Ok((stream, source)), Some(to)) = (accepted, to) else {
                     continue;
                 };
                 let caller = Domain::of(source.ip());
--- a/crates/yucca-dev/tests/support/control.rs
+++ b/crates/yucca-dev/tests/support/control.rs
@@ -18,6 +18,9 @@
 /// How long a report without news is held back.
 const HOLD: time::Duration = time::Duration::from_millis(100);
 
+/// How long lanes may send after each report.
+const LEASE_US: u64 = 10_000_000;
+
 pub struct Control {
     pub address: net::SocketAddr,
     state: sync::Arc<State>,
@@ -162,6 +165,7 @@
     report::Update {
         locals: locals.collect(),
         global,
+        lease_us: Some(LEASE_US),
         leased: true,
         ..report::Update::default()
     }
