Tests of the whole path and its faults; histograms keep latencies over 2 us

The histograms were made with the range 1 to 2 us and clamped everything above; they now reach 10 minutes, and a test holds it.

--- a/crates/yucca-dev/src/deployment.rs
+++ b/crates/yucca-dev/src/deployment.rs
@@ -191,6 +191,15 @@
         self
     }
 
+    /// Leaves each failure domain at most so many hosts.
+    #[must_use]
+    pub fn hosts_at_most(mut self, hosts: usize) -> Self {
+        for domain in self.ticket.domains.values_mut() {
+            domain.hosts.truncate(hosts);
+        }
+        self
+    }
+
     /// Returns the failure domains.
     ///
     /// # Errors
--- a/crates/yucca-dev/src/load/tally.rs
+++ b/crates/yucca-dev/src/load/tally.rs
@@ -15,6 +15,9 @@
 /// The significant digits of the histograms.
 const DIGITS: u8 = 3;
 
+/// The longest latency that the histograms tell apart, in microseconds.
+const LONGEST_US: u64 = 600_000_000;
+
 /// What became of a request, as its caller sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum End {
@@ -209,7 +212,7 @@
 
 fn record(histogram: &mut Option<Histogram<u64>>, value: time::Duration) {
     if histogram.is_none() {
-        *histogram = Histogram::new(DIGITS).ok();
+        *histogram = Histogram::new_with_max(LONGEST_US, DIGITS).ok();
     }
     if let Some(histogram) = histogram {
         histogram.saturating_record(value.as_micros() as u64);
--- a/crates/yucca-dev/tests/load_measures.rs
+++ b/crates/yucca-dev/tests/load_measures.rs
@@ -113,3 +113,23 @@
     assert!((found[0].in_time - 0.75).abs() < 1e-9);
     assert!((found[0].goodput - 1.5).abs() < 1e-9);
 }
+
+#[test]
+fn latency_and_what_the_work_leaves_of_it() {
+    let tally = tally::Tally::default();
+    for _ in 0..100 {
+        let latency = time::Duration::from_millis(30);
+        tally.add(&arrival(0, 7, 20), latency, tally::End::InTime, None);
+    }
+    let row = tally.totals().rows[0].clone();
+    assert!(
+        (row.latency_ms(0.5) - 30.0).abs() < 0.1,
+        "{}",
+        row.latency_ms(0.5)
+    );
+    assert!(
+        (row.overhead_ms(0.99) - 10.0).abs() < 0.1,
+        "{}",
+        row.overhead_ms(0.99)
+    );
+}
--- a/crates/yucca-dev/tests/support/mod.rs
+++ b/crates/yucca-dev/tests/support/mod.rs
@@ -34,6 +34,27 @@
         http::Response::from_parts(head, body.collect().await.unwrap().to_bytes())
     }
 
+    /// Sends one request on a connection of its own; none where the connection fails.
+    pub async fn exchange(
+        address: net::SocketAddr,
+        request: http::Request<Full<Bytes>>,
+    ) -> Option<http::Response<Bytes>> {
+        let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+        let (mut sender, driver) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let driver = tokio::spawn(driver);
+        let answer = sender.send_request(request).await;
+        let answer = match answer {
+            Ok(answer) => {
+                let (head, body) = answer.into_parts();
+                let body = body.collect().await.ok()?;
+                Some(http::Response::from_parts(head, body.to_bytes()))
+            }
+            Err(_) => None,
+        };
+        driver.abort();
+        answer
+    }
+
     /// Closes the connection, whatever is on it.
     pub fn hang_up(self) {
         self.driver.abort();
--- /dev/null
+++ b/crates/yucca-dev/tests/support/stage.rs
@@ -0,0 +1,139 @@
+//! A running deployment for tests: real entry and control processes, stand-in targets.
+#![allow(dead_code, missing_docs, clippy::unwrap_used, clippy::panic)]
+
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use yucca_dev::cluster::fault::Fault;
+use yucca_dev::{cluster, deployment, journal};
+use yucca_wire::id;
+
+use crate::support::{Client, request};
+
+pub struct Stage {
+    pub cluster: sync::Arc<cluster::Cluster>,
+}
+
+/// What a caller sees of an answer.
+#[derive(Debug, Clone)]
+pub struct Seen {
+    pub status: u16,
+    pub outcome: Option<String>,
+    pub target: Option<id::Target>,
+    pub body: Bytes,
+}
+
+impl Stage {
+    /// Starts a deployment that serves.
+    pub async fn start(deployment: deployment::Deployment) -> Self {
+        let settings = cluster::Settings {
+            deployment,
+            port: None,
+            warmup: time::Duration::ZERO,
+            seed: 1,
+            control: None,
+        };
+        let cluster = cluster::Cluster::start(settings).await.unwrap();
+        cluster::start::serve(&cluster).await.unwrap();
+        Self {
+            cluster: sync::Arc::new(cluster),
+        }
+    }
+
+    /// Starts Kelani with three targets a service and a few hosts in each domain.
+    pub async fn small(hosts: usize) -> Self {
+        let kelani = deployment::Deployment::new(deployment::Name::Kelani).unwrap();
+        Self::start(kelani.at_most(6).hosts_at_most(hosts)).await
+    }
+
+    /// Returns the callers' address of the first host of a domain.
+    pub async fn entry(&self, domain: &str) -> net::SocketAddr {
+        let entries = self.cluster.entries().await;
+        let mut entries = entries.iter();
+        entries
+            .find(|entry| entry.domain.as_str() == domain)
+            .unwrap()
+            .callers
+    }
+
+    pub async fn inflict(&self, fault: Fault) {
+        self.cluster.inflict(fault).await.unwrap();
+    }
+
+    pub fn runs(&self, echo: &str) -> Vec<journal::Run> {
+        self.cluster.journal().runs(echo)
+    }
+
+    /// Returns a key of the ticket desk whose owner is in a domain, and that owner.
+    pub async fn key_in(&self, domain: &str) -> (String, id::Target) {
+        let entry = self.entry(domain).await;
+        let targets = self.cluster.targets().served;
+        for number in 0.. {
+            let path = format!("/ticket-desk/key-{number}");
+            let seen = until_served(entry, "GET", &path, "search").await;
+            let owner = seen.target.unwrap();
+            let found = targets.iter().find(|target| target.target == owner);
+            if found.unwrap().domain.as_str() == domain {
+                return (path, owner);
+            }
+        }
+        panic!("no key has its home in {domain}")
+    }
+}
+
+/// Sends one request on a connection of its own; a connection that fails counts as status 0.
+pub async fn send(entry: net::SocketAddr, method: &str, path: &str, echo: &str) -> Seen {
+    send_work(entry, method, path, echo, "0").await
+}
+
+pub async fn send_work(
+    entry: net::SocketAddr,
+    method: &str,
+    path: &str,
+    echo: &str,
+    work_us: &str,
+) -> Seen {
+    let headers = [("x-work-us", work_us), ("x-echo", echo)];
+    let answer = Client::exchange(entry, request(method, path, &headers)).await;
+    let Some(answer) = answer else {
+        return Seen {
+            status: 0,
+            outcome: None,
+            target: None,
+            body: Bytes::new(),
+        };
+    };
+    let text = |name: &str| {
+        let value = answer.headers().get(name)?;
+        Some(value.to_str().unwrap().to_owned())
+    };
+    Seen {
+        status: answer.status().as_u16(),
+        outcome: text("yucca-outcome"),
+        target: text("x-target").map(|name| name.parse().unwrap()),
+        body: answer.body().clone(),
+    }
+}
+
+/// Sends a request until it is served.
+pub async fn until_served(entry: net::SocketAddr, method: &str, path: &str, echo: &str) -> Seen {
+    loop {
+        let seen = send(entry, method, path, echo).await;
+        if seen.status == 200 {
+            return seen;
+        }
+    }
+}
+
+/// Sends a request until another target than `not` serves it.
+pub async fn until_moved(entry: net::SocketAddr, path: &str, not: &id::Target) -> id::Target {
+    loop {
+        let seen = until_served(entry, "GET", path, "moved").await;
+        let target = seen.target.unwrap();
+        if target != *not {
+            return target;
+        }
+    }
+}
--- /dev/null
+++ b/crates/yucca-dev/tests/target_faults.rs
@@ -0,0 +1,85 @@
+//! Targets that freeze, go silent on open connections, restart, leave and are lost.
+#![allow(clippy::unwrap_used)]
+
+#[path = "support/stage.rs"]
+mod stage;
+mod support;
+
+use stage::{Stage, send, until_moved, until_served};
+use yucca_dev::cluster::fault::Fault;
+use yucca_wire::announce;
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_frozen_targets_keys_are_served_elsewhere() {
+    let stage = Stage::small(2).await;
+    let (path, owner) = stage.key_in("colombo").await;
+    let entry = stage.entry("colombo").await;
+    stage
+        .inflict(Fault::Freeze {
+            target: owner.clone(),
+        })
+        .await;
+    let other = until_moved(entry, &path, &owner).await;
+    assert_ne!(other, owner);
+    stage.inflict(Fault::Thaw { target: owner }).await;
+    until_served(entry, "GET", &path, "after").await;
+    assert_eq!(stage.cluster.journal().totals().overlaps, 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn silent_connections_are_not_blamed_on_the_target() {
+    let stage = Stage::small(2).await;
+    let (path, owner) = stage.key_in("colombo").await;
+    let entry = stage.entry("colombo").await;
+    stage
+        .inflict(Fault::Silence {
+            target: owner.clone(),
+        })
+        .await;
+    let seen = send(entry, "GET", &path, "silenced").await;
+    assert_eq!(seen.status, 200, "{seen:?}");
+    assert_eq!(seen.target, Some(owner));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_restarted_target_serves_again() {
+    let stage = Stage::small(2).await;
+    let (path, owner) = stage.key_in("colombo").await;
+    let entry = stage.entry("colombo").await;
+    stage.inflict(Fault::Restart { target: owner }).await;
+    until_served(entry, "GET", &path, "restarted").await;
+    assert_eq!(stage.cluster.journal().totals().overlaps, 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_lost_targets_keys_are_served_elsewhere() {
+    let stage = Stage::small(2).await;
+    let (path, owner) = stage.key_in("colombo").await;
+    let entry = stage.entry("colombo").await;
+    stage
+        .inflict(Fault::Lose {
+            target: owner.clone(),
+        })
+        .await;
+    assert_ne!(until_moved(entry, &path, &owner).await, owner);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_leaving_target_gets_no_new_work() {
+    let stage = Stage::small(2).await;
+    let (path, owner) = stage.key_in("colombo").await;
+    let entry = stage.entry("colombo").await;
+    let state = announce::State::Leaving;
+    stage
+        .inflict(Fault::Announce {
+            target: owner.clone(),
+            state,
+        })
+        .await;
+    until_moved(entry, &path, &owner).await;
+    for number in 0..100 {
+        let path = format!("/ticket-desk/after-{number}");
+        let seen = until_served(entry, "GET", &path, "left").await;
+        assert_ne!(seen.target.as_ref(), Some(&owner), "{path}");
+    }
+}
