A host with the table and without the lane has ended it

Cause: a planned handover waited for report::Lane.left alone; a host that closed its lane on seeing the table reports no lane, and the target stayed without one until that host's lease lapsed. Change: the version of the table that told the lane to end is kept; a report with that version in force and no such lane counts as the word of the host. Conclusion: a test hears such reports with the older table, with the lane, and without it.

--- a/crates/yucca-own/src/domain.rs
+++ b/crates/yucca-own/src/domain.rs
@@ -65,11 +65,20 @@
     /// It is silent.
     lost: bool,
     /// The host that was told to end the lane and has not said that it did.
-    ending: Option<id::Host>,
+    ending: Option<Ending>,
     /// The standby that has a whole copy of the lane's ledger.
     copied: Option<id::Host>,
 }
 
+/// A lane that was told to end.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Ending {
+    /// Its host.
+    host: id::Host,
+    /// The version of the table that told it.
+    version: id::Version,
+}
+
 /// What is known of a pin besides the table.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct PinState {
--- a/crates/yucca-own/src/domain/apply.rs
+++ b/crates/yucca-own/src/domain/apply.rs
@@ -73,7 +73,7 @@
                 token,
                 host,
             } => self.copied(target, *token, host),
-            Command::Yield { target, token } => self.yield_lane(target, *token),
+            Command::Yield { target, token } => self.yield_lane(version, target, *token),
             Command::Left { target, token } => self.left(target, *token, mint),
             Command::Own { service, grants } => self.own(service, grants, mint),
             Command::Move { service, shifts } => self.shift(service, shifts),
--- a/crates/yucca-own/src/domain/evidence.rs
+++ b/crates/yucca-own/src/domain/evidence.rs
@@ -53,6 +53,8 @@
     pub global: id::Version,
     /// The domain versions in force there.
     pub locals: IndexMap<id::Domain, id::Version>,
+    /// The targets whose lanes it reported last.
+    lanes: IndexSet<id::Target>,
     /// When it was first heard without a gap.
     pub steady_since: time::Duration,
 }
@@ -90,6 +92,7 @@
             stopping: false,
             global: id::Version::default(),
             locals: IndexMap::new(),
+            lanes: IndexSet::new(),
             steady_since: heard,
         }
     }
@@ -213,6 +216,21 @@
         self.since
     }
 
+    /// Tells whether a host that has this version in force reported no lane of the target.
+    pub(super) fn closed(
+        &self,
+        host: &id::Host,
+        domain: &id::Domain,
+        target: &id::Target,
+        version: id::Version,
+    ) -> bool {
+        let seen = self.hosts.get(host);
+        seen.is_some_and(|seen| {
+            let held = seen.locals.get(domain).copied().unwrap_or_default();
+            held >= version && !seen.lanes.contains(target)
+        })
+    }
+
     /// Returns the shards of a target.
     pub(super) fn owned(&self, target: &id::Target) -> impl Iterator<Item = id::Shard> {
         let owned = self.owned.get(target);
@@ -247,6 +265,7 @@
         host.stopping = report.stopping;
         host.global = report.global;
         host.locals.clone_from(&report.locals);
+        host.lanes = report.lanes.keys().cloned().collect();
         true
     }
 
--- a/crates/yucca-own/src/domain/lanes.rs
+++ b/crates/yucca-own/src/domain/lanes.rs
@@ -7,7 +7,7 @@
 use yucca_wire::table;
 
 use super::apply::Mint;
-use super::{Reply, State};
+use super::{Ending, Reply, State};
 
 impl State {
     /// Tells whether a host may take a lane.
@@ -88,7 +88,12 @@
         }
     }
 
-    pub(super) fn yield_lane(&mut self, target: &id::Target, token: id::Token) -> Reply {
+    pub(super) fn yield_lane(
+        &mut self,
+        version: id::Version,
+        target: &id::Target,
+        token: id::Token,
+    ) -> Reply {
         let Some(found) = self.with_token(target, token) else {
             return Reply::Stale;
         };
@@ -99,7 +104,7 @@
             return Reply::Stale;
         };
         let known = self.targets.entry(target.clone()).or_default();
-        known.ending = Some(host);
+        known.ending = Some(Ending { host, version });
         Reply::Done
     }
 
@@ -130,7 +135,7 @@
                 self.forget_copy(&name);
             }
             let known = self.targets.entry(name.clone()).or_default();
-            let ending = known.ending.as_ref() == Some(host);
+            let ending = known.ending.as_ref().is_some_and(|e| e.host == *host);
             if ending {
                 known.ending = None;
             }
--- a/crates/yucca-own/src/domain/plan/lanes.rs
+++ b/crates/yucca-own/src/domain/plan/lanes.rs
@@ -34,7 +34,7 @@
     let mut counts = count(state);
     for (name, target) in &state.table.targets {
         let seen = evidence.targets.get(name);
-        if let Some(command) = hear(state, name, target, seen) {
+        if let Some(command) = hear(state, evidence, name, target) {
             commands.push(command);
         }
         let command = assign(state, name, target, &mut counts)
@@ -69,19 +69,23 @@
 /// Passes on what the lane reported about itself.
 fn hear(
     state: &State,
+    evidence: &Evidence,
     name: &id::Target,
     target: &table::Target,
-    seen: Option<&Target>,
 ) -> Option<Command> {
-    let seen = seen.filter(|seen| seen.token == target.token)?;
     let known = state.targets.get(name)?;
     let (target_name, token) = (name.clone(), target.token);
-    if seen.left && known.ending.is_some() {
-        return Some(Command::Left {
+    let seen = evidence.targets.get(name);
+    let seen = seen.filter(|seen| seen.token == target.token);
+    if let Some(ending) = &known.ending {
+        let said = seen.is_some_and(|seen| seen.left);
+        let closed = evidence.closed(&ending.host, state.domain(), name, ending.version);
+        return (said || closed).then_some(Command::Left {
             target: target_name,
             token,
         });
     }
+    let seen = seen?;
     let copied = seen.copied.as_ref()?;
     let news = target.standby.as_ref() == Some(copied) && known.copied.as_ref() != Some(copied);
     (news && target.lane.is_some()).then(|| Command::Copied {
--- a/crates/yucca-own/tests/lane_changes.rs
+++ b/crates/yucca-own/tests/lane_changes.rs
@@ -93,6 +93,49 @@
     assert!(after.targets.values().all(|target| target.standby != a2));
 }
 
+#[test]
+fn a_host_with_the_table_and_without_the_lane_has_ended_it() {
+    let mut world = world();
+    let zone = world.zone("a");
+    let before = zone.state.table();
+    let (target, old) = before.targets.first().unwrap();
+    let command = domain::Command::Yield {
+        target: target.clone(),
+        token: old.token,
+    };
+    let now = Duration::from_secs(20);
+    assert_eq!(zone.propose(command, now), domain::Reply::Done);
+    let table = zone.state.table();
+    let mut report = yucca_wire::report::Report {
+        host: old.lane.clone().unwrap(),
+        incarnation: 1,
+        global: id::Version(1),
+        locals: [(name("a"), before.version)].into(),
+        announced: Vec::new(),
+        lanes: IndexMap::new(),
+        stopping: false,
+    };
+    let left = domain::Command::Left {
+        target: target.clone(),
+        token: old.token,
+    };
+    zone.evidence.hear(&report, now);
+    assert!(
+        !zone.state.plan(&zone.evidence, now).contains(&left),
+        "it has an older table"
+    );
+    report.locals = [(name("a"), table.version)].into();
+    report.lanes = [(target.clone(), Default::default())].into();
+    zone.evidence.hear(&report, now);
+    assert!(
+        !zone.state.plan(&zone.evidence, now).contains(&left),
+        "it still has the lane"
+    );
+    report.lanes.clear();
+    zone.evidence.hear(&report, now);
+    assert!(zone.state.plan(&zone.evidence, now).contains(&left));
+}
+
 #[test]
 fn a_returning_host_gets_its_share_one_lane_at_a_time() {
     let mut world = world();
--- a/crates/yucca-wire/src/report.rs
+++ b/crates/yucca-wire/src/report.rs
@@ -48,7 +48,9 @@
     pub work: IndexMap<id::Shard, u64>,
     /// The work done for the hottest keys, in slot-microseconds.
     pub hot: IndexMap<Bytes, u64>,
-    /// Whether a lane that was to end sends nothing more to its target.
+    /// Whether a lane that was to end (its target has no lane in the table, and this token) sends
+    /// nothing more to its target. A host that has that table in force and reports no lane of the
+    /// target says the same.
     #[serde(default)]
     pub left: bool,
 }
