A stopping host waits two seconds for its standbys' copies, not for ever

Cause: without a whole copy at the standby a lane was never told to end, and its host's stop ended by the lease that lapsed.

--- a/crates/yucca-own/src/domain/evidence.rs
+++ b/crates/yucca-own/src/domain/evidence.rs
@@ -47,8 +47,8 @@
     leased: time::Duration,
     /// Its lease lapsed; it is not renewed before its lanes were taken away.
     pub lapsed: bool,
-    /// It wants its lanes handed over.
-    pub stopping: bool,
+    /// Since when it wants its lanes handed over.
+    pub stopping: Option<time::Duration>,
     /// The global version in force there.
     pub global: id::Version,
     /// The domain versions in force there.
@@ -89,7 +89,7 @@
             heard,
             leased,
             lapsed: false,
-            stopping: false,
+            stopping: None,
             global: id::Version::default(),
             locals: IndexMap::new(),
             lanes: IndexSet::new(),
@@ -262,7 +262,7 @@
             host.leased = now;
         }
         host.heard = now;
-        host.stopping = report.stopping;
+        host.stopping = report.stopping.then(|| host.stopping.unwrap_or(now));
         host.global = report.global;
         host.locals.clone_from(&report.locals);
         host.lanes = report.lanes.keys().cloned().collect();
--- a/crates/yucca-own/src/domain/plan/hosts.rs
+++ b/crates/yucca-own/src/domain/plan/hosts.rs
@@ -18,7 +18,7 @@
                 host: name.clone(),
                 incarnation: host.incarnation,
             });
-        } else if seen.is_some_and(|seen| seen.stopping) && !host.stopping {
+        } else if seen.is_some_and(|seen| seen.stopping.is_some()) && !host.stopping {
             commands.push(Command::Stopping {
                 host: name.clone(),
                 incarnation: host.incarnation,
@@ -30,7 +30,7 @@
         let known = domain.is_some_and(|domain| domain.hosts.contains_key(name));
         let up = state.hosts.get(name).is_some_and(|host| host.up);
         let fresh = now.saturating_sub(seen.heard) <= lease::HOST;
-        if known && !up && fresh && !seen.lapsed && !seen.stopping {
+        if known && !up && fresh && !seen.lapsed && seen.stopping.is_none() {
             commands.push(Command::HostUp {
                 host: name.clone(),
                 incarnation: seen.incarnation,
--- a/crates/yucca-own/src/domain/plan/lanes.rs
+++ b/crates/yucca-own/src/domain/plan/lanes.rs
@@ -6,13 +6,14 @@
 use yucca_wire::id;
 use yucca_wire::table;
 
-use crate::domain::evidence::Target;
 use crate::domain::{Command, Evidence, State};
 
 /// How long a host must have been heard without a gap before lanes move to it for balance.
 const STEADY: time::Duration = time::Duration::from_secs(5);
 /// The difference in lanes between two hosts from which on one moves.
 const IMBALANCE: usize = 2;
+/// How long a stopping host's lanes wait for their standbys to have whole copies.
+const COPY_PATIENCE: time::Duration = time::Duration::from_secs(2);
 /// How long a lane must find a heard target dead before another host tries.
 const TRY_ELSEWHERE: time::Duration = time::Duration::from_millis(300);
 
@@ -33,13 +34,12 @@
 ) {
     let mut counts = count(state);
     for (name, target) in &state.table.targets {
-        let seen = evidence.targets.get(name);
         if let Some(command) = hear(state, evidence, name, target) {
             commands.push(command);
         }
         let command = assign(state, name, target, &mut counts)
             .or_else(|| stand_by(state, name, target, &mut counts))
-            .or_else(|| hand_over(state, name, target, seen, now));
+            .or_else(|| hand_over(state, evidence, name, target, now));
         commands.extend(command);
     }
     commands.extend(balance(state, evidence, now, &counts));
@@ -143,11 +143,12 @@
 /// Ends a lane whose host stops, or from which the target cannot be reached.
 fn hand_over(
     state: &State,
+    evidence: &Evidence,
     name: &id::Target,
     target: &table::Target,
-    seen: Option<&Target>,
     now: time::Duration,
 ) -> Option<Command> {
+    let seen = evidence.targets.get(name);
     let lane = target.lane.as_ref()?;
     let standby = target.standby.as_ref()?;
     let stopping = !state.takes_lanes(lane);
@@ -159,7 +160,10 @@
             .is_some_and(|since| seen.heard > since && dead_for(since) >= TRY_ELSEWHERE);
         dead && !seen.dead_from.contains(standby)
     });
-    let ready = copied == Some(standby);
+    let host = evidence.hosts.get(lane);
+    let since = host.and_then(|host| host.stopping);
+    let patient = since.is_none_or(|since| now.saturating_sub(since) < COPY_PATIENCE);
+    let ready = copied == Some(standby) || !patient;
     ((stopping && ready) || unreachable).then(|| Command::Yield {
         target: name.clone(),
         token: target.token,
--- a/crates/yucca-own/tests/common/mod.rs
+++ b/crates/yucca-own/tests/common/mod.rs
@@ -25,6 +25,8 @@
     pub moved: usize,
     /// The commands that took effect.
     pub applied: Vec<domain::Command>,
+    /// Standbys get no whole copies of ledgers.
+    pub no_copies: bool,
     /// A host that cannot reach a target which others reach.
     pub unreachable: Option<(id::Host, id::Target)>,
 }
@@ -121,6 +123,7 @@
                     highest: IndexMap::new(),
                     moved: 0,
                     applied: Vec::new(),
+                    no_copies: false,
                     unreachable: None,
                 },
             );
@@ -316,6 +319,9 @@
             if found.lane.as_ref() == Some(host) {
                 held.insert(target.clone(), found.token);
                 let mut lane = lane_of(&global, &table, target, found);
+                if self.no_copies {
+                    lane.copied = None;
+                }
                 let fake = self.targets.get_mut(target);
                 let cut = Some((host.clone(), target.clone()));
                 lane.alive =
--- a/crates/yucca-own/tests/lane_changes.rs
+++ b/crates/yucca-own/tests/lane_changes.rs
@@ -93,6 +93,25 @@
     assert!(after.targets.values().all(|target| target.standby != a2));
 }
 
+#[test]
+fn a_stopping_host_does_not_wait_for_copies_for_ever() {
+    let mut world = world();
+    world.zone("a").no_copies = true;
+    world.zone("a").host("a1").up = false;
+    world.run(Duration::from_secs(2));
+    // Standbys changed, and none of the new ones has a copy.
+    world.zone("a").host("a2").stopping = true;
+    world.run(Duration::from_millis(1500));
+    let a2: id::Host = name("a2");
+    assert!(
+        lanes(&table(&mut world)).contains_key(&a2),
+        "it waits for copies"
+    );
+    *world.zone("a").host("a1") = Host::new(2);
+    world.run(Duration::from_millis(2500));
+    assert!(!lanes(&table(&mut world)).contains_key(&a2));
+}
+
 #[test]
 fn a_host_with_the_table_and_without_the_lane_has_ended_it() {
     let mut world = world();
