A domain's log takes in what changed of the global part

Change: Command::GlobalChange holds a delta from the part that the state has; State::follow makes it. Conclusion: the control process should propose State::follow(&newest) in place of Command::Global.

--- a/crates/yucca-own/src/domain.rs
+++ b/crates/yucca-own/src/domain.rs
@@ -19,6 +19,7 @@
 use yucca_wire::key;
 use yucca_wire::table;
 
+use crate::delta;
 use crate::global;
 use crate::lease;
 
@@ -112,6 +113,18 @@
         sync::Arc::clone(&self.global)
     }
 
+    /// Returns the command that takes in a newer global part: only what changed, so that the
+    /// domain's log does not hold the whole part once a ticket.
+    pub fn follow(&self, newest: &table::Global) -> Option<Command> {
+        if newest.version <= self.global.version {
+            return None;
+        }
+        let first = self.global.version == id::Version::default();
+        let held = (!first).then_some(&*self.global);
+        let change = delta::diff(held, newest);
+        Some(Command::GlobalChange(Box::new(change)))
+    }
+
     /// Returns the domain.
     pub fn domain(&self) -> &id::Domain {
         &self.table.domain
--- a/crates/yucca-own/src/domain/apply.rs
+++ b/crates/yucca-own/src/domain/apply.rs
@@ -1,9 +1,11 @@
 //! The effect of each command of a domain's log on hosts and targets.
 
 use yucca_wire::id;
+use yucca_wire::report;
 use yucca_wire::table;
 
 use super::{Announce, Command, Host, Reply, State};
+use crate::delta;
 
 /// Makes the fencing tokens of one log entry; each is above all earlier ones.
 pub(super) struct Mint {
@@ -42,6 +44,7 @@
         let mint = &mut Mint::new(self.generation(), version);
         match command {
             Command::Global(global) => self.take_global(global),
+            Command::GlobalChange(change) => self.follow_global(change),
             Command::Announce(announce) => self.announce(announce, mint),
             Command::TargetLost {
                 target,
@@ -91,6 +94,13 @@
         }
     }
 
+    fn follow_global(&mut self, change: &report::Change<table::Global>) -> Reply {
+        match delta::apply(Some(&*self.global), change.clone()) {
+            Ok(global) => self.take_global(&std::sync::Arc::new(global)),
+            Err(_) => Reply::Stale,
+        }
+    }
+
     fn take_global(&mut self, global: &std::sync::Arc<table::Global>) -> Reply {
         if global.version <= self.global.version {
             return Reply::Stale;
--- a/crates/yucca-own/src/domain/command.rs
+++ b/crates/yucca-own/src/domain/command.rs
@@ -14,6 +14,8 @@
 pub enum Command {
     /// A newer global part.
     Global(sync::Arc<table::Global>),
+    /// What leads from the global part that was taken in to a newer one.
+    GlobalChange(Box<report::Change<table::Global>>),
     /// What a target says of itself.
     Announce(Announce),
     /// A target is silent.
--- a/crates/yucca-own/tests/common/mod.rs
+++ b/crates/yucca-own/tests/common/mod.rs
@@ -174,8 +174,10 @@
             let global = self.global.table();
             let now = self.now;
             let zone = self.zones.get_mut(&domain).unwrap();
-            if zone.connected && global.version > zone.state.global().version {
-                zone.propose(domain::Command::Global(global), now);
+            let change = zone.state.follow(&global).filter(|_| zone.connected);
+            if let Some(change) = change {
+                zone.propose(change, now);
+                assert_eq!(*zone.state.global(), *global);
             }
             zone.tick(now);
             if !zone.connected {
--- a/crates/yucca-own/tests/delta_apply.rs
+++ b/crates/yucca-own/tests/delta_apply.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use common::{BASE, World, name};
-use yucca_own::delta;
+use yucca_own::{delta, domain};
 use yucca_wire::{id, report, table};
 
 fn world() -> World {
@@ -98,6 +98,28 @@
     assert!(error.to_string().contains("pins/desk/0"));
 }
 
+#[test]
+fn a_domains_log_takes_in_only_what_changed() {
+    let mut world = world();
+    let first = domain::Command::Global(world.global.table());
+    let whole = rmp_serde::to_vec(&first).unwrap().len();
+    world.submit("number = 2\ndrains.desk = [\"x\"]");
+    let newest = world.global.table();
+    let now = world.now;
+    let zone = world.zone("a");
+    let change = zone.state.follow(&newest).unwrap();
+    let bytes = rmp_serde::to_vec(&change).unwrap().len();
+    assert!(bytes * 5 < whole, "{bytes} of {whole}");
+    assert_eq!(zone.propose(change.clone(), now), domain::Reply::Done);
+    assert_eq!(zone.state.global(), newest);
+    assert_eq!(
+        zone.propose(change, now),
+        domain::Reply::Stale,
+        "sent twice"
+    );
+    assert!(zone.state.follow(&newest).is_none());
+}
+
 #[test]
 fn history_answers_by_nothing_a_delta_or_a_snapshot() {
     let mut world = world();
