--- a/crates/yucca-own/src/domain.rs
+++ b/crates/yucca-own/src/domain.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod command;
 mod evidence;
+mod index;
 mod lanes;
 mod owners;
 mod pins;
--- a/crates/yucca-own/src/domain/evidence.rs
+++ b/crates/yucca-own/src/domain/evidence.rs
@@ -1,14 +1,13 @@
 //! What the leader of a domain's log saw itself; it is never replicated.
 
-use std::sync;
 use std::time;
 
 use indexmap::{IndexMap, IndexSet};
 use yucca_wire::announce;
 use yucca_wire::id;
 use yucca_wire::report;
-use yucca_wire::table;
 
+use super::index;
 use super::rates::Rates;
 use super::{Announce, State};
 use crate::lease;
@@ -30,10 +29,7 @@
     home_renewed: Option<time::Duration>,
     /// When work was last due to be evened out.
     balance_due: time::Duration,
-    /// The version of the table that the index below describes.
-    indexed: Option<sync::Arc<table::Local>>,
-    /// The shards of each target.
-    owned: IndexMap<id::Target, IndexSet<id::Shard>>,
+    index: index::Index,
 }
 
 /// What was heard of a host.
@@ -114,8 +110,7 @@
             rates: IndexMap::new(),
             home_renewed: None,
             balance_due: now,
-            indexed: None,
-            owned: IndexMap::new(),
+            index: index::Index::default(),
         }
     }
 
@@ -134,7 +129,7 @@
 
     /// Takes in what was applied; call it after each application, and before `plan`.
     pub fn observe(&mut self, state: &State, now: time::Duration) {
-        self.index(&state.table());
+        self.index.follow(&state.table());
         if now.saturating_sub(self.balance_due) >= BALANCE_INTERVAL {
             self.balance_due = now;
         }
@@ -233,8 +228,7 @@
 
     /// Returns the shards of a target.
     pub(super) fn owned(&self, target: &id::Target) -> impl Iterator<Item = id::Shard> {
-        let owned = self.owned.get(target);
-        owned.into_iter().flatten().copied()
+        self.index.shards(target)
     }
 
     fn hear_host(&mut self, report: &report::Report, now: time::Duration) -> bool {
@@ -326,45 +320,6 @@
             self.rates.entry(service).or_default().add(lane, now);
         }
     }
-
-    /// Brings the index of owners up to date, in proportion to what changed.
-    fn index(&mut self, table: &sync::Arc<table::Local>) {
-        let before = self.indexed.replace(sync::Arc::clone(table));
-        if before
-            .as_ref()
-            .is_some_and(|before| sync::Arc::ptr_eq(before, table))
-        {
-            return;
-        }
-        let none = yucca_wire::shards::Owners::new();
-        let old_of = |service: &id::Service| {
-            let owners = before
-                .as_ref()
-                .and_then(|before| before.owners.get(service));
-            owners.unwrap_or(&none)
-        };
-        let removed = before.iter().flat_map(|before| before.owners.keys());
-        let removed = removed.filter(|service| !table.owners.contains_key(*service));
-        let services: Vec<&id::Service> = table.owners.keys().chain(removed).collect();
-        let owned = &mut self.owned;
-        for service in services {
-            let old = old_of(service);
-            let new = table.owners.get(service).unwrap_or(&none);
-            new.changes(old, |shard, owner| {
-                let was = old.get(&shard).map(|owner| &owner.target);
-                let is = owner.map(|owner| &owner.target);
-                if was == is {
-                    return;
-                }
-                if let Some(shards) = was.and_then(|was| owned.get_mut(was)) {
-                    shards.swap_remove(&shard);
-                }
-                if let Some(is) = is {
-                    owned.entry(is.clone()).or_default().insert(shard);
-                }
-            });
-        }
-    }
 }
 
 /// Reads an announcement; one that names no valid target is passed over.
