A domain whose targets all restart keeps its shards

Cause: with all targets of a domain gone for a moment its slots were told as none, and its shards began to leave it at once, to come back later. Change: shards leave a domain only after its slots have stayed the same for 5 s. Conclusion: a test restarts all targets of a domain within 4 s; no home changes.

--- a/crates/yucca-own/src/global/evidence.rs
+++ b/crates/yucca-own/src/global/evidence.rs
@@ -16,6 +16,14 @@
     heard: IndexMap<id::Domain, time::Duration>,
     /// The last renewal of each domain, and when it was first seen in the state.
     renewals: IndexMap<id::Domain, Renewal>,
+    /// The slots that each domain told last, and when they were first seen in the state.
+    capacity: IndexMap<id::Domain, Capacity>,
+}
+
+#[derive(Debug, Clone)]
+struct Capacity {
+    slots: IndexMap<id::Service, u32>,
+    seen: time::Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -31,6 +39,7 @@
             since: now,
             heard: IndexMap::new(),
             renewals: IndexMap::new(),
+            capacity: IndexMap::new(),
         }
     }
 
@@ -39,8 +48,9 @@
         self.heard.insert(domain.clone(), now);
     }
 
-    /// Notes the renewals of home leases that were applied; call it after each application.
+    /// Notes the renewals of home leases and the slots that were applied; call it after each application.
     pub fn observe(&mut self, state: &State, now: time::Duration) {
+        self.observe_capacity(state, now);
         for (domain, renewal) in &state.renewals {
             let known = self.renewals.get(domain);
             if known.is_none_or(|known| known.number != renewal.number) {
@@ -53,6 +63,30 @@
         }
     }
 
+    fn observe_capacity(&mut self, state: &State, now: time::Duration) {
+        for (domain, slots) in &state.capacity {
+            let known = self.capacity.get(domain);
+            if known.is_none_or(|known| known.slots != *slots) {
+                let capacity = Capacity {
+                    slots: slots.clone(),
+                    seen: now,
+                };
+                self.capacity.insert(domain.clone(), capacity);
+            }
+        }
+    }
+
+    /// Tells whether the slots of a domain have stayed the same for this long.
+    pub(super) fn is_steady(
+        &self,
+        domain: &id::Domain,
+        least: time::Duration,
+        now: time::Duration,
+    ) -> bool {
+        let capacity = self.capacity.get(domain);
+        capacity.is_some_and(|capacity| now.saturating_sub(capacity.seen) >= least)
+    }
+
     /// Returns when this process became leader.
     pub(super) fn since(&self) -> time::Duration {
         self.since
--- a/crates/yucca-own/src/global/plan.rs
+++ b/crates/yucca-own/src/global/plan.rs
@@ -14,6 +14,8 @@
 const SETTLE: time::Duration = time::Duration::from_secs(2);
 /// A domain that was silent for longer gets no shards and is asked for none.
 const SILENT: time::Duration = time::Duration::from_secs(2);
+/// How long a domain's slots must have stayed the same before shards leave it.
+const STEADY: time::Duration = time::Duration::from_secs(5);
 /// The most shards of one service that leave their homes at a time: one part in so many.
 const LEAVING_PART: usize = 64;
 
@@ -109,7 +111,8 @@
         // A silent domain keeps its share: it counts with what it last told.
         let all = self.weights(service, &|_| false);
         let limit = homes.len().div_ceil(LEAVING_PART);
-        let may_leave = |domain: &id::Domain| !silent(domain) && self.capacity.contains_key(domain);
+        let may_leave =
+            |domain: &id::Domain| !silent(domain) && evidence.is_steady(domain, STEADY, now);
         let mut shards = homes::surplus(homes, &all, limit, &may_leave);
         shards.retain(|_, to| weights.contains_key(to));
         (!shards.is_empty()).then(|| Command::Leave {
--- a/crates/yucca-own/tests/domain_cuts.rs
+++ b/crates/yucca-own/tests/domain_cuts.rs
@@ -258,6 +258,25 @@
     assert!(least >= 60, "few at a time: {least}");
 }
 
+#[test]
+fn a_domain_whose_targets_all_restart_keeps_its_shards() {
+    let mut world = world("");
+    let homes = world.global.table().homes.clone();
+    for index in 0..4 {
+        world.zone("c").target(&format!("c-desk-{index}")).silent = true;
+    }
+    world.run(Duration::from_secs(4));
+    assert_eq!(owned(&mut world, "c"), 0);
+    for index in 0..4 {
+        let target = world.zone("c").target(&format!("c-desk-{index}"));
+        target.silent = false;
+        target.announce.incarnation += 1;
+    }
+    world.run(Duration::from_secs(20));
+    assert_eq!(world.global.table().homes, homes);
+    assert_eq!(world.served("desk"), 64);
+}
+
 #[test]
 fn homes_follow_capacity_with_few_moves() {
     let mut world = world("");
