--- a/crates/yucca-own/src/domain.rs
+++ b/crates/yucca-own/src/domain.rs
@@ -3,6 +3,7 @@
 mod apply;
 mod command;
 mod evidence;
+mod index;
 mod lanes;
 mod owners;
 mod pins;
@@ -19,6 +20,7 @@
 use yucca_wire::key;
 use yucca_wire::table;
 
+use crate::delta;
 use crate::global;
 use crate::lease;
 
@@ -65,11 +67,20 @@
     /// It is silent.
     lost: bool,
     /// The host that was told to end the lane and has not said that it did.
-    ending: Option<id::Host>,
+    ending: Option<Ending>,
     /// The standby that has a whole copy of the lane's ledger.
     copied: Option<id::Host>,
 }
 
+/// A lane that was told to end.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Ending {
+    /// Its host.
+    host: id::Host,
+    /// The version of the table that told it.
+    version: id::Version,
+}
+
 /// What is known of a pin besides the table.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 struct PinState {
@@ -103,6 +114,18 @@
         sync::Arc::clone(&self.global)
     }
 
+    /// Returns the command that takes in a newer global part: only what changed, so that the
+    /// domain's log does not hold the whole part once a ticket.
+    pub fn follow(&self, newest: &table::Global) -> Option<Command> {
+        if newest.version <= self.global.version {
+            return None;
+        }
+        let first = self.global.version == id::Version::default();
+        let held = (!first).then_some(&*self.global);
+        let change = delta::diff(held, newest);
+        Some(Command::GlobalChange(Box::new(change)))
+    }
+
     /// Returns the domain.
     pub fn domain(&self) -> &id::Domain {
         &self.table.domain
