--- a/crates/yucca-control/src/version/feed.rs
+++ b/crates/yucca-control/src/version/feed.rs
@@ -172,6 +172,11 @@
 }
 
 fn merge_part<T: delta::Part>(history: &mut delta::History<T>, change: report::Change<T>) -> bool {
+    let (report::Change::Snapshot(part) | report::Change::Delta { changed: part, .. }) = &change;
+    if part.version() <= version(history) {
+        // It came from elsewhere meanwhile.
+        return false;
+    }
     let held = history.newest().cloned();
     match delta::apply(held.as_deref(), change) {
         Ok(part) => offer(history, sync::Arc::new(part)),
--- a/crates/yucca-control/tests/common/mod.rs
+++ b/crates/yucca-control/tests/common/mod.rs
@@ -307,6 +307,8 @@
     pub table: yucca_control::version::feed::Feed,
     pub leased: bool,
     pub announced: Vec<announce::Announce>,
+    /// How many updates of the global part came as deltas.
+    pub deltas: usize,
     sender: memory::Sender,
     to: net::SocketAddr,
 }
@@ -319,6 +321,7 @@
             table: yucca_control::version::feed::Feed::default(),
             leased: false,
             announced: Vec::new(),
+            deltas: 0,
             sender: deployment.network.sender(to),
             to,
         }
@@ -350,6 +353,7 @@
         };
         let update: report::Update = codec::decode(deployment, &frame).unwrap();
         self.leased = update.lease_us.is_some();
+        self.deltas += usize::from(matches!(update.global, Some(report::Change::Delta { .. })));
         self.table.merge(update);
         true
     }
