--- a/crates/yucca-wire/src/report.rs
+++ b/crates/yucca-wire/src/report.rs
@@ -25,6 +25,7 @@
     /// The domain versions in force at the host.
     pub locals: IndexMap<id::Domain, id::Version>,
     /// The heartbeats of targets that the host heard since the last report.
+    #[serde(with = "as_border_text")]
     pub announced: Vec<announce::Announce>,
     /// What the host's lanes saw.
     pub lanes: IndexMap<id::Target, Lane>,
@@ -101,3 +102,30 @@
         removed: Vec<String>,
     },
 }
+
+/// Announcements keep their border form, JSON: it may leave fields out, which the positional
+/// encoding of our own messages cannot.
+mod as_border_text {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer, de, ser};
+
+    use crate::announce;
+
+    pub fn serialize<S: Serializer>(
+        announced: &[announce::Announce],
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        let mut texts = Vec::with_capacity(announced.len());
+        for announce in announced {
+            texts.push(serde_json::to_string(announce).map_err(ser::Error::custom)?);
+        }
+        texts.serialize(serializer)
+    }
+
+    pub fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<announce::Announce>, D::Error> {
+        let texts = Vec::<String>::deserialize(deserializer)?;
+        let parse = |text: &String| serde_json::from_str(text).map_err(de::Error::custom);
+        texts.iter().map(parse).collect()
+    }
+}
