Control: evidence of an earlier term does not count; status tells each leader

Cause: a host that lost leadership and won it again between two looks kept what it had heard before; another host may have led and given leases meanwhile, so it could have taken lanes away too early. The status named the leader only of logs that the answering host takes part in. Change: leaders forget what they heard when the term changes; a domain's leader names itself with its hosts. Tests of what operators are shown.

--- a/crates/yucca-control/src/process/lead.rs
+++ b/crates/yucca-control/src/process/lead.rs
@@ -5,6 +5,7 @@
 
 use futures_util::future;
 use indexmap::IndexMap;
+use yucca_log::entry;
 use yucca_own::{domain, global};
 use yucca_wire::{id, table};
 
@@ -29,7 +30,7 @@
 
 /// Plans for the global log while this host leads it.
 pub(super) async fn run_global(core: sync::Arc<Core>) {
-    let mut led = false;
+    let mut led = None;
     let mut ticks = tokio::time::interval(core.settings.timing.plan.0);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -37,12 +38,14 @@
         let Some(seat) = core.global() else {
             continue;
         };
-        let leads = seat.replica.standing().leads;
-        if leads && !led {
+        let standing = seat.replica.standing();
+        let leads = standing.leads.then_some(standing.term);
+        // What was seen in an earlier term does not count: another host may have led meanwhile.
+        if leads.is_some() && leads != led {
             *lock(&seat.evidence) = global::Evidence::new(core.now());
         }
         led = leads;
-        if leads {
+        if leads.is_some() {
             plan_global(&core, &seat).await;
         }
     }
@@ -72,14 +75,18 @@
     loop {
         ticks.tick().await;
         for seat in core.domains() {
-            if !seat.replica.standing().leads {
+            let standing = seat.replica.standing();
+            if !standing.leads {
                 led.swap_remove(&seat.domain);
                 continue;
             }
-            if !led.contains_key(&seat.domain) {
+            // What was heard in an earlier term does not count: another host may have led
+            // meanwhile and given leases that this one does not know of.
+            let known = led.get(&seat.domain).map(|led| led.term);
+            if known != Some(standing.term) {
                 *lock(&seat.evidence) = domain::Evidence::new(core.now());
                 lock(&seat.hosts).clear();
-                led.insert(seat.domain.clone(), Led::default());
+                led.insert(seat.domain.clone(), Led::new(standing.term));
             }
             if let Some(led) = led.get_mut(&seat.domain) {
                 plan_domain(&core, &seat, led).await;
@@ -89,14 +96,26 @@
 }
 
 /// What a leader of a domain's log did.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct Led {
+    /// The term in which it leads.
+    term: entry::Term,
     /// When the global log's leader was last told of the domain.
     told: Option<time::Duration>,
     /// What it was told.
     commands: Vec<global::Command>,
 }
 
+impl Led {
+    fn new(term: entry::Term) -> Self {
+        Self {
+            term,
+            told: None,
+            commands: Vec::new(),
+        }
+    }
+}
+
 async fn plan_domain(core: &sync::Arc<Core>, seat: &sync::Arc<seat::Domain>, led: &mut Led) {
     let now = core.now();
     let mut commands = {
--- a/crates/yucca-control/src/request/serve.rs
+++ b/crates/yucca-control/src/request/serve.rs
@@ -127,7 +127,8 @@
             (name.to_string(), value)
         });
         let hosts: serde_json::Map<String, serde_json::Value> = hosts.collect();
-        Answered::Json(serde_json::Value::Object(hosts).to_string())
+        let told = json!({ "leader": self.settings.host, "hosts": hosts });
+        Answered::Json(told.to_string())
     }
 
     /// Returns what this host knows of the logs that it takes part in.
--- a/crates/yucca-control/src/request/status.rs
+++ b/crates/yucca-control/src/request/status.rs
@@ -21,8 +21,12 @@
     locals: IndexMap<id::Domain, id::Version>,
 }
 
-/// The hosts of a domain, as its leader hears them; none where it cannot be reached.
-type Hosts = Option<IndexMap<id::Host, Seen>>;
+/// What a domain's leader tells.
+#[derive(Debug, Clone, Deserialize)]
+struct Told {
+    leader: id::Host,
+    hosts: IndexMap<id::Host, Seen>,
+}
 
 /// Shows what this process sees of the deployment.
 pub async fn show(core: &sync::Arc<core::Core>) -> listener::Response {
@@ -30,8 +34,8 @@
     let table = core.feed.table();
     let directory = core.directory.load_full();
     let domains = directory.domains().into_iter().map(|domain| {
-        let seen = hosts.get(&domain).cloned().flatten();
-        let value = show_domain(core, &table, &domain, seen);
+        let told = hosts.get(&domain).and_then(Option::as_ref);
+        let value = show_domain(core, &table, &domain, told);
         (domain.to_string(), value)
     });
     let value = json!({
@@ -46,13 +50,17 @@
     body::json(http::StatusCode::OK, &value)
 }
 
-fn show_domain(core: &core::Core, table: &table::Table, domain: &id::Domain, seen: Hosts) -> Value {
+fn show_domain(
+    core: &core::Core,
+    table: &table::Table,
+    domain: &id::Domain,
+    told: Option<&Told>,
+) -> Value {
     let local = table.locals.get(domain);
-    let log = message::Log::Domain(domain.clone());
     let named = table.global.domains.get(domain);
     let hosts = core.directory.load();
     let hosts = hosts.of_domain(domain).into_iter().map(|host| {
-        let value = seen.as_ref().and_then(|seen| seen.get(&host)).map(|seen| {
+        let value = told.and_then(|told| told.hosts.get(&host)).map(|seen| {
             json!({
                 "heard_ms_ago": seen.heard_ms_ago,
                 "global": seen.global,
@@ -62,9 +70,9 @@
         (host.to_string(), json!(value))
     });
     json!({
-        "reachable": seen.is_some(),
+        "reachable": told.is_some(),
         "lost": named.is_some_and(|domain| domain.lost),
-        "leader": core.leader_hint(&log),
+        "leader": told.map(|told| told.leader.clone()),
         "version": local.map(|local| local.version),
         "global_taken_in": local.map(|local| local.global),
         "hosts": Value::Object(hosts.collect()),
@@ -81,7 +89,7 @@
     let mut lagging: Vec<id::Host> = Vec::new();
     for (host, entry) in &directory.hosts {
         let domain = hosts.get(&entry.domain).and_then(Option::as_ref);
-        let seen = domain.and_then(|domain| domain.get(host));
+        let seen = domain.and_then(|domain| domain.hosts.get(host));
         let state = match (domain, seen) {
             (None, _) => "unreachable",
             (_, None) => "unheard",
@@ -111,7 +119,7 @@
 }
 
 /// Asks the leader of each domain for its hosts.
-async fn hosts(core: &sync::Arc<core::Core>) -> IndexMap<id::Domain, Hosts> {
+async fn hosts(core: &sync::Arc<core::Core>) -> IndexMap<id::Domain, Option<Told>> {
     let domains = core.directory.load().domains();
     let patience = core.settings.timing.answer.0;
     let asked = domains.into_iter().map(|domain| async move {
