Control: a ticket that waits in vain tells why

Cause: where the leader refuses for now (full disk, too much uncommitted), the operator read only that the outcome is not known. Change: the search for a leader returns the last answer that it got.

--- a/crates/yucca-control/src/process/errand.rs
+++ b/crates/yucca-control/src/process/errand.rs
@@ -109,15 +109,18 @@
 }
 
 impl core::Core {
-    /// Takes an errand to the leader of its log, wherever it is, within `patience`.
+    /// Takes an errand to the leader of its log, wherever it is, within `patience`. Without an
+    /// answer of the leader it returns the last answer of another host, which may tell why.
     ///
     /// An errand may arrive more than once, so it must do no harm when repeated.
     pub async fn take<E: Errand>(&self, errand: E, patience: time::Duration) -> Option<E::Answer> {
-        let search = self.search(errand);
-        tokio::time::timeout(patience, search).await.ok()
+        let mut last = None;
+        let search = self.search(errand, &mut last);
+        let found = tokio::time::timeout(patience, search).await.ok();
+        found.or(last)
     }
 
-    async fn search<E: Errand>(&self, errand: E) -> E::Answer {
+    async fn search<E: Errand>(&self, errand: E, last: &mut Option<E::Answer>) -> E::Answer {
         let log = errand.log();
         let mut hint = self.leader_hint(&log);
         loop {
@@ -131,7 +134,7 @@
                 match E::verdict(&answer) {
                     Verdict::Done => return answer,
                     Verdict::Elsewhere(leader) => hint = leader.filter(|l| hosts.contains(l)),
-                    Verdict::Unknown => {}
+                    Verdict::Unknown => *last = Some(answer),
                 }
             }
             tokio::time::sleep(PAUSE).await;
--- a/crates/yucca-control/src/request/ticket.rs
+++ b/crates/yucca-control/src/request/ticket.rs
@@ -89,10 +89,18 @@
         entry: machine::pack(&command),
     };
     let answer = core.take(errand, core.settings.timing.accept.0).await;
-    let Some(message::Proposed::Applied(receipt)) = answer else {
-        return no_leader(&format!(
-            "whether ticket {number} was accepted is not known"
-        ));
+    let receipt = match answer {
+        Some(message::Proposed::Applied(receipt)) => receipt,
+        Some(message::Proposed::Unknown(reason)) => {
+            return no_leader(&format!(
+                "whether ticket {number} was accepted is not known: {reason}"
+            ));
+        }
+        _ => {
+            return no_leader(&format!(
+                "whether ticket {number} was accepted is not known: no leader of the global log can be reached"
+            ));
+        }
     };
     match rmp_serde::from_slice::<global::Reply>(&receipt.reply) {
         Ok(reply) => answer_reply(reply),
