Control: starting replicas has a module of its own

Change: process/open.rs starts the replicas; nothing else changes. Conclusion: 55 tests of yucca-control and 12 of yucca-settings pass.

--- a/crates/yucca-control/src/process.rs
+++ b/crates/yucca-control/src/process.rs
@@ -6,6 +6,7 @@
 mod follow;
 pub(crate) mod lead;
 pub mod metric;
+mod open;
 pub mod ready;
 pub mod seat;
 
--- a/crates/yucca-control/src/process/core.rs
+++ b/crates/yucca-control/src/process/core.rs
@@ -8,14 +8,12 @@
 use rand::rngs;
 use rand::{Rng, SeedableRng};
 use tokio::task;
-use yucca_log::{message as log_message, node};
-use yucca_own::{domain, global};
+use yucca_log::message as log_message;
 use yucca_wire::{codec, id};
 
 use crate::courier;
 use crate::directory;
 use crate::guard;
-use crate::machine;
 use crate::message;
 use crate::peer;
 use crate::post;
@@ -97,11 +95,11 @@
         core
     }
 
-    fn draw(&self) -> u64 {
+    pub(super) fn draw(&self) -> u64 {
         lead::lock(&self.random).random()
     }
 
-    fn incarnations(&self) -> rngs::StdRng {
+    pub(super) fn incarnations(&self) -> rngs::StdRng {
         rngs::StdRng::seed_from_u64(self.draw())
     }
 
@@ -180,96 +178,16 @@
         }
     }
 
-    /// Starts replicas of the logs that this host is to take part in and has no replica of.
-    fn take_seats(&self) -> Result<(), yucca_log::storage::Error> {
-        let directory = self.directory.load();
-        let own = &self.settings.host;
-        let global = seat::seating(&directory, &message::Log::Global);
-        if global.hosts.contains(own) && self.global().is_none() {
-            let taken = self.open_global(global)?;
-            self.seats_mut().global = Some(sync::Arc::new(taken));
-        }
-        for domain in directory.domains() {
-            let seating = seat::seating(&directory, &message::Log::Domain(domain.clone()));
-            if seating.hosts.contains(own) && self.domain(&domain).is_none() {
-                let taken = self.open_domain(&domain, seating)?;
-                self.seats_mut()
-                    .domains
-                    .insert(domain, sync::Arc::new(taken));
-            }
-        }
-        Ok(())
-    }
-
-    fn open_global(
-        &self,
-        seating: seat::Seating,
-    ) -> Result<seat::Global, yucca_log::storage::Error> {
-        let machine = machine::global::Global::default();
-        let machine = sync::Arc::new(sync::Mutex::new(machine));
-        let log = message::Log::Global;
-        let parts = self.parts(log, seating, replica::Rule::Spread, machine.clone());
-        Ok(seat::Global {
-            replica: replica::Replica::start(parts)?,
-            machine,
-            evidence: sync::Mutex::new(global::Evidence::new(self.now())),
-        })
-    }
-
-    fn open_domain(
-        &self,
-        name: &id::Domain,
-        seating: seat::Seating,
-    ) -> Result<seat::Domain, yucca_log::storage::Error> {
-        let machine = machine::domain::Domain::new(name.clone());
-        let machine = sync::Arc::new(sync::Mutex::new(machine));
-        let log = message::Log::Domain(name.clone());
-        let rule = replica::Rule::Local(name.clone());
-        let parts = self.parts(log, seating, rule, machine.clone());
-        Ok(seat::Domain {
-            domain: name.clone(),
-            replica: replica::Replica::start(parts)?,
-            machine,
-            evidence: sync::Mutex::new(domain::Evidence::new(self.now())),
-            hosts: sync::Mutex::default(),
-            confirmation: confirm::Confirmation::default(),
-        })
-    }
-
-    fn parts(
-        &self,
-        log: message::Log,
-        seating: seat::Seating,
-        rule: replica::Rule,
-        machine: replica::Shared,
-    ) -> replica::Parts {
-        let mut config = node::Config::new(self.settings.host.clone(), &log.to_string());
-        config.founders = seating.founders;
-        config.seed = self.draw();
-        replica::Parts {
-            opener: self.opener(&log),
-            log,
-            config,
-            machine,
-            courier: self.courier.clone(),
-            feed: self.feed.clone(),
-            hosts: loader(&self.directory),
-            rule,
-        }
+    /// Adds the global log to those that this host takes part in.
+    pub(super) fn set_global(&self, taken: seat::Global) {
+        self.seats_mut().global = Some(sync::Arc::new(taken));
     }
 
-    fn opener(&self, log: &message::Log) -> Box<dyn replica::storage::Opener> {
-        match &self.settings.data {
-            Some(data) => Box::new(replica::storage::Disk {
-                data: data.clone(),
-                host: self.settings.host.clone(),
-                log: log.clone(),
-                incarnations: self.incarnations(),
-            }),
-            None => Box::new(replica::storage::Memory {
-                incarnations: self.incarnations(),
-            }),
-        }
+    /// Adds a domain's log to those that this host takes part in.
+    pub(super) fn set_domain(&self, taken: seat::Domain) {
+        let domain = taken.domain.clone();
+        let mut seats = self.seats_mut();
+        seats.domains.insert(domain, sync::Arc::new(taken));
     }
 
     /// Hands leadership of all logs over, within `patience`.
@@ -323,7 +241,7 @@
     }
 }
 
-fn loader(directory: &sync::Arc<ArcSwap<directory::Directory>>) -> directory::Hosts {
+pub(super) fn loader(directory: &sync::Arc<ArcSwap<directory::Directory>>) -> directory::Hosts {
     let directory = directory.clone();
     sync::Arc::new(move || directory.load_full())
 }
--- /dev/null
+++ b/crates/yucca-control/src/process/open.rs
@@ -0,0 +1,106 @@
+//! Starts the replicas of the logs that this host takes part in.
+
+use std::sync;
+
+use yucca_log::node;
+use yucca_own::{domain, global};
+use yucca_wire::id;
+
+use crate::machine;
+use crate::message;
+use crate::process::confirm;
+use crate::process::core::{self, Core};
+use crate::process::seat;
+use crate::replica;
+
+impl Core {
+    /// Starts replicas of the logs that this host is to take part in and has no replica of.
+    pub(super) fn take_seats(&self) -> Result<(), yucca_log::storage::Error> {
+        let directory = self.directory.load();
+        let own = &self.settings.host;
+        let global = seat::seating(&directory, &message::Log::Global);
+        if global.hosts.contains(own) && self.global().is_none() {
+            let taken = self.open_global(global)?;
+            self.set_global(taken);
+        }
+        for domain in directory.domains() {
+            let seating = seat::seating(&directory, &message::Log::Domain(domain.clone()));
+            if seating.hosts.contains(own) && self.domain(&domain).is_none() {
+                let taken = self.open_domain(&domain, seating)?;
+                self.set_domain(taken);
+            }
+        }
+        Ok(())
+    }
+
+    fn open_global(
+        &self,
+        seating: seat::Seating,
+    ) -> Result<seat::Global, yucca_log::storage::Error> {
+        let machine = machine::global::Global::default();
+        let machine = sync::Arc::new(sync::Mutex::new(machine));
+        let log = message::Log::Global;
+        let parts = self.parts(log, seating, replica::Rule::Spread, machine.clone());
+        Ok(seat::Global {
+            replica: replica::Replica::start(parts)?,
+            machine,
+            evidence: sync::Mutex::new(global::Evidence::new(self.now())),
+        })
+    }
+
+    fn open_domain(
+        &self,
+        name: &id::Domain,
+        seating: seat::Seating,
+    ) -> Result<seat::Domain, yucca_log::storage::Error> {
+        let machine = machine::domain::Domain::new(name.clone());
+        let machine = sync::Arc::new(sync::Mutex::new(machine));
+        let log = message::Log::Domain(name.clone());
+        let rule = replica::Rule::Local(name.clone());
+        let parts = self.parts(log, seating, rule, machine.clone());
+        Ok(seat::Domain {
+            domain: name.clone(),
+            replica: replica::Replica::start(parts)?,
+            machine,
+            evidence: sync::Mutex::new(domain::Evidence::new(self.now())),
+            hosts: sync::Mutex::default(),
+            confirmation: confirm::Confirmation::default(),
+        })
+    }
+
+    fn parts(
+        &self,
+        log: message::Log,
+        seating: seat::Seating,
+        rule: replica::Rule,
+        machine: replica::Shared,
+    ) -> replica::Parts {
+        let mut config = node::Config::new(self.settings.host.clone(), &log.to_string());
+        config.founders = seating.founders;
+        config.seed = self.draw();
+        replica::Parts {
+            opener: self.opener(&log),
+            log,
+            config,
+            machine,
+            courier: self.courier.clone(),
+            feed: self.feed.clone(),
+            hosts: core::loader(&self.directory),
+            rule,
+        }
+    }
+
+    fn opener(&self, log: &message::Log) -> Box<dyn replica::storage::Opener> {
+        match &self.settings.data {
+            Some(data) => Box::new(replica::storage::Disk {
+                data: data.clone(),
+                host: self.settings.host.clone(),
+                log: log.clone(),
+                incarnations: self.incarnations(),
+            }),
+            None => Box::new(replica::storage::Memory {
+                incarnations: self.incarnations(),
+            }),
+        }
+    }
+}
