--- a/crates/yucca-control/examples/measure.rs
+++ b/crates/yucca-control/examples/measure.rs
@@ -13,9 +13,13 @@
 use tokio::task;
 use yucca_control::peer::memory;
 use yucca_control::process::core;
+use yucca_control::version::feed;
 use yucca_control::{machine, message, settings};
 use yucca_own::{global, ticket};
 
+/// The first ticket: the services and hosts of a deployment of today's size.
+const SAMPLE: &str = include_str!("../../../settings/kelani/ticket.toml");
+
 /// How long an idle deployment is watched.
 const IDLE: time::Duration = time::Duration::from_secs(10);
 
@@ -73,7 +77,7 @@
     runtime.block_on(async {
         let hosts = start(count, 5, None).await;
         let network = hosts[0].1.clone();
-        submit(&hosts[0], 1).await;
+        submit_text(&hosts[0], SAMPLE).await;
         tokio::time::sleep(time::Duration::from_secs(2)).await;
         let (ticks, bytes) = (processor_ticks(), total(&network));
         tokio::time::sleep(IDLE).await;
@@ -118,8 +122,17 @@
         &format!("bytes a host and ticket, {count}"),
         format!("{each:.0} in {span:.3} s"),
     );
-    let table = hosts[0].0.core.feed.table();
-    let whole = machine::pack(&*table.global).len();
+    print_changes(hosts, count).await;
+}
+
+/// Prints the sizes of what a host is sent that has the version before, or none.
+async fn print_changes(hosts: &[(Host, memory::Network)], count: usize) {
+    let feed = &hosts[0].0.core.feed;
+    let before = feed.known();
+    submit(&hosts[0], SPREAD_TICKETS + 2).await;
+    let delta = machine::pack(&feed.since(&before)).len();
+    print(&format!("bytes of a delta, {count}"), delta.to_string());
+    let whole = machine::pack(&feed.since(&feed::Known::default())).len();
     print(&format!("bytes of a snapshot, {count}"), whole.to_string());
 }
 
@@ -196,10 +209,26 @@
 /// Sends a ticket as the operator's interface does, and returns its version.
 async fn submit(host: &(Host, memory::Network), number: u64) -> yucca_wire::id::Version {
     let text = format!(
-        r#"{{"number": {number}, "summary": "measured", "domains": {{"colombo": {{"region": "western"}}, "ratmalana": {{"region": "western"}}, "maradana": {{"region": "western"}}}}, "services": {{"ticket-desk": {{"prefix": "/ticket-desk", "deadline": "{}ms", "kind": {{"keyed": {{"key": {{"segment": 0}}, "shards": 1024}}}}}}}}}}"#,
+        r#"{{"number": {number}, "summary": "measured", "services": {{"ticket-desk": {{"prefix": "/ticket-desk", "deadline": "{}ms", "kind": {{"keyed": {{"key": {{"segment": 0}}, "shards": 1024}}}}}}}}}}"#,
         number + 100
     );
     let checked = ticket::check(text.as_bytes(), ticket::Format::Json).unwrap();
+    submit_checked(host, checked).await
+}
+
+async fn submit_text(host: &(Host, memory::Network), text: &str) -> yucca_wire::id::Version {
+    let mut checked = ticket::check(text.as_bytes(), ticket::Format::Toml).unwrap();
+    // The hosts are those of the settings here.
+    for domain in checked.domains.values_mut() {
+        domain.hosts.clear();
+    }
+    submit_checked(host, checked).await
+}
+
+async fn submit_checked(
+    host: &(Host, memory::Network),
+    checked: ticket::Checked,
+) -> yucca_wire::id::Version {
     let command = global::Command::Submit {
         ticket: Box::new(checked),
         sender: "measure".into(),
