--- /dev/null
+++ b/crates/yucca-log/tests/domain_losses.rs
@@ -0,0 +1,156 @@
+//! The tolerated losses of a domain's log: three locals, some with disks, and two witnesses.
+#![allow(clippy::unwrap_used)]
+
+mod fake;
+
+use fake::{Net, host, millis};
+use test_case::test_case;
+use yucca_log::membership::{Change, Standing, next_change};
+use yucca_log::node;
+
+const LOCALS: [&str; 3] = ["l1", "l2", "l3"];
+const WITNESSES: [&str; 2] = ["w1", "w2"];
+
+/// A log in which the first so many locals have a disk, with some entries acknowledged.
+fn domain(disks: usize, seed: u64) -> Net {
+    let names = [LOCALS.as_slice(), WITNESSES.as_slice()].concat();
+    let mut net = Net::new(&names, seed);
+    for name in &LOCALS[disks..] {
+        net.slots[&host(name)].diskless = true;
+    }
+    for number in 0..20 {
+        net.commit(&format!("{number}"));
+    }
+    net
+}
+
+fn check_acknowledged(net: &Net) {
+    let leader = net.leader().unwrap();
+    let applied = net.slots[&leader].applied;
+    let newest = net.acknowledged.keys().max().unwrap();
+    assert!(applied >= *newest);
+    for (version, entry) in &net.acknowledged {
+        assert_eq!(&net.history[version].0, entry, "{version} was lost");
+    }
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn a_restart_of_the_whole_domain_loses_nothing(disks: usize) {
+    for seed in 0..20 {
+        let mut net = domain(disks, seed);
+        for name in LOCALS {
+            net.restart(&host(name));
+        }
+        net.commit("after the restart");
+        check_acknowledged(&net);
+    }
+}
+
+#[test_case(1)]
+#[test_case(3)]
+fn any_two_voters_may_be_lost_at_once(disks: usize) {
+    let names = [LOCALS.as_slice(), WITNESSES.as_slice()].concat();
+    for first in 0..names.len() {
+        for second in 0..first {
+            let mut net = domain(disks, first as u64);
+            net.crash(&host(names[first]));
+            net.crash(&host(names[second]));
+            net.commit("after the losses");
+            check_acknowledged(&net);
+        }
+    }
+}
+
+#[test]
+fn a_domain_that_is_cut_off_goes_on_and_its_witnesses_do_not() {
+    let mut net = domain(1, 1);
+    for local in LOCALS {
+        for witness in WITNESSES {
+            net.cut(&host(local), &host(witness));
+        }
+    }
+    net.run(millis(2_000));
+    let leader = net.leader().unwrap();
+    assert!(LOCALS.contains(&leader.as_str()), "{leader} leads");
+    net.commit("during the cut");
+    for name in LOCALS {
+        net.crash(&host(name));
+    }
+    net.run(millis(30_000));
+    assert_eq!(net.leader(), None);
+}
+
+/// Steps the quorum rule as an owner would, until it is met.
+fn repair(net: &mut Net) {
+    for _ in 0..20 {
+        net.run(millis(500));
+        let leader = net.await_leader();
+        if leader.as_str().starts_with('w') {
+            let to = Some(host("l1"));
+            net.input(&leader, node::Input::Transfer { to });
+            continue;
+        }
+        let node = net.node(&leader);
+        let standings = net.slots.iter().filter_map(|(name, slot)| {
+            let replica = slot.node.as_ref()?.replica().clone();
+            Some(Standing {
+                local: name.as_str().starts_with('l'),
+                disk: !slot.diskless,
+                alive: true,
+                caught_up: node.is_caught_up(&replica),
+                replica,
+            })
+        });
+        let standings: Vec<Standing> = standings.collect();
+        let change = next_change(node.members(), node.replica(), &standings);
+        match change {
+            // A learner that is still being taught makes the rule wait.
+            None if node.members().learners().is_empty() => return,
+            None => {}
+            Some(change) => drop(net.change(change)),
+        }
+    }
+}
+
+#[test]
+fn losses_one_after_another_are_repaired_down_to_one_local_and_up_again() {
+    let mut net = domain(3, 2);
+    for lost in ["l3", "l2"] {
+        net.crash(&host(lost));
+        net.commit("during the loss");
+        repair(&mut net);
+    }
+    let leader = net.leader().unwrap();
+    let voters = net.node(&leader).members().voters();
+    assert_eq!(voters.len(), 1, "{voters:?}");
+    for back in ["l2", "l3"] {
+        net.start(&host(back));
+        net.run(millis(500));
+        repair(&mut net);
+    }
+    let members = net.node(&leader).members();
+    assert_eq!(members.voters().len(), 5, "{members}");
+    net.settle();
+}
+
+#[test]
+fn a_diskless_voter_that_restarts_is_counted_again_in_its_new_life() {
+    let mut net = domain(1, 3);
+    let old = net.node(&host("l3")).replica().clone();
+    net.restart(&host("l3"));
+    net.run(millis(500));
+    repair(&mut net);
+    let leader = net.leader().unwrap();
+    let members = net.node(&leader).members().clone();
+    let new = net.node(&host("l3")).replica().clone();
+    assert!(
+        members.is_voter(&new) && !members.contains(&old),
+        "{members}"
+    );
+    assert_eq!(members.voters().len(), 5, "{members}");
+    let again = net.change(Change::AddLearner(new));
+    assert!(again.is_err());
+    net.settle();
+}
--- a/crates/yucca-log/tests/fake/mod.rs
+++ b/crates/yucca-log/tests/fake/mod.rs
@@ -108,6 +108,13 @@
     pub rng: ChaCha8Rng,
 }
 
+/// A state machine's state, padded with bytes that tell places apart.
+fn padded(state: u64, bytes: usize) -> Vec<u8> {
+    let mut padded = state.to_le_bytes().to_vec();
+    padded.extend((padded.len()..bytes).map(|place| (place / 1_000) as u8));
+    padded
+}
+
 pub fn replica(name: &str, incarnation: u64) -> membership::Replica {
     membership::Replica {
         host: host(name),
@@ -437,13 +444,13 @@
         slot.state = u64::from_le_bytes(bytes[..8].try_into().unwrap());
         slot.applied = version;
         slot.installs += 1;
-        assert_eq!(bytes.len(), self.state_bytes, "{name} got another state");
+        let whole = bytes == padded(slot.state, self.state_bytes);
+        assert!(whole, "{name} got another state");
     }
 
     fn take_snapshot(&mut self, name: &id::Host) {
         let slot = &mut self.slots[name];
-        let mut state = slot.state.to_le_bytes().to_vec();
-        state.resize(self.state_bytes, 0);
+        let state = padded(slot.state, self.state_bytes);
         let version = slot.applied;
         let state = Bytes::from(state);
         self.input(name, node::Input::Snapshot { version, state });
