Log: a blank host founds nothing while a peer is a member of a log

Cause: witnesses may be replaced after the founding; a domain that lost all its locals would then have found only blank founders and founded an empty log beside the one that its present witnesses hold. Change: `Config::peers` are asked too, and one answer of a member forbids founding for the life of the process. A test has blank founders beside a log that only a peer is a member of.

--- a/crates/yucca-log/src/node.rs
+++ b/crates/yucca-log/src/node.rs
@@ -72,6 +72,8 @@
     incoming: Option<snapshot::Incoming>,
     asked_snapshot: bool,
     blanks: IndexSet<membership::Replica>,
+    /// Whether any replica said that it is a member of a log.
+    log_exists: bool,
     election_at: Duration,
     join_at: Duration,
     rng: ChaCha8Rng,
@@ -107,6 +109,7 @@
             incoming: None,
             asked_snapshot: false,
             blanks: IndexSet::new(),
+            log_exists: false,
             election_at: Duration::ZERO,
             join_at: Duration::ZERO,
             rng: ChaCha8Rng::seed_from_u64(config.seed),
--- a/crates/yucca-log/src/node/config.rs
+++ b/crates/yucca-log/src/node/config.rs
@@ -14,6 +14,9 @@
     /// The hosts whose replicas found the log, when each of them is blank; the first one acts.
     /// A blank replica also asks them for a log to join.
     pub founders: Vec<id::Host>,
+    /// Other hosts that may have a replica. A blank replica asks them too, and founds no log where
+    /// one of them is a member of one.
+    pub peers: Vec<id::Host>,
     /// How often a leader is heard.
     pub heartbeat: Duration,
     /// The shortest silence after which a follower campaigns; the longest is twice this. A leader
@@ -46,6 +49,7 @@
             id,
             group: group.into(),
             founders: Vec::new(),
+            peers: Vec::new(),
             heartbeat: Duration::from_millis(70),
             election: Duration::from_millis(250),
             seed: 0,
--- a/crates/yucca-log/src/node/join.rs
+++ b/crates/yucca-log/src/node/join.rs
@@ -24,6 +24,7 @@
         let members = self.members().iter().map(|member| member.host.clone());
         let mut hosts: IndexSet<id::Host> = members.collect();
         hosts.extend(self.config.founders.iter().cloned());
+        hosts.extend(self.config.peers.iter().cloned());
         hosts.shift_remove(&self.config.id);
         for host in hosts {
             self.send_join(host);
@@ -75,7 +76,7 @@
                 self.blanks.insert(sender);
             }
             message::Welcome::Member(leader) => {
-                self.blanks.clear();
+                self.log_exists = true;
                 if let Some(leader) = leader.filter(|leader| *leader != sender.host) {
                     self.send_join(leader);
                 }
@@ -87,7 +88,7 @@
     fn try_founding(&mut self) {
         let blanks = std::mem::take(&mut self.blanks);
         let founders = &self.config.founders;
-        if self.cluster.is_some() || founders.first() != Some(&self.config.id) {
+        if self.cluster.is_some() || self.log_exists || founders.first() != Some(&self.config.id) {
             return;
         }
         let mut others = founders.iter().skip(1);
--- a/crates/yucca-log/tests/membership_changes.rs
+++ b/crates/yucca-log/tests/membership_changes.rs
@@ -163,3 +163,22 @@
     net.commit("two");
     assert_eq!(net.node(&host("b")).cluster(), cluster);
 }
+
+#[test]
+fn no_log_is_founded_while_a_peer_is_a_member_of_one() {
+    let mut net = Net::new(&["w1", "w2", "w3"], 8);
+    net.commit("one");
+    let founders: Vec<_> = ["a", "b"].map(host).into();
+    for name in ["a", "b"] {
+        let mut config = node::Config::new(host(name), "test");
+        config.founders = founders.clone();
+        config.peers = vec![host("w3")];
+        net.add_with(config, storage::Recovered::blank(1), true);
+    }
+    net.run(millis(5_000));
+    assert_eq!(
+        net.node(&host("a")).cluster(),
+        None,
+        "it founded another log"
+    );
+}
