Log: a founder lost in the middle of the founding leaves no hosts between logs

Cause: a blank replica took the founder's log for its own as soon as it was called. Where the founder was then lost, the others were members of a log of which they held nothing: they could neither go on with it nor be founded anew.

--- a/crates/yucca-log/src/node/join.rs
+++ b/crates/yucca-log/src/node/join.rs
@@ -111,31 +111,45 @@
         self.writer.push(storage::Record::Cluster(cluster));
     }
 
-    /// Tells whether a message is of this replica's log. A blank replica joins the first log
-    /// whose leader or candidate calls it by its incarnation.
+    /// Tells whether a message is of this replica's log. A blank replica answers any log that calls
+    /// it by its incarnation, and joins the first that teaches it from the start.
     pub(super) fn accepts_cluster(
         &mut self,
         cluster: Option<entry::Cluster>,
         to: Option<u64>,
         body: &message::Body,
     ) -> bool {
+        let called = to == Some(self.replica.incarnation);
         let Some(theirs) = cluster else {
-            return false;
+            return called && is_reply(body);
         };
         if let Some(own) = self.cluster {
             return own == theirs;
         }
-        let calls = matches!(
-            body,
-            message::Body::Append(_)
-                | message::Body::Snapshot(_)
-                | message::Body::PreVote(_)
-                | message::Body::Vote(_)
-        );
-        if calls && to == Some(self.replica.incarnation) {
+        if called && teaches(body) {
             self.join_cluster(theirs);
-            return true;
         }
-        false
+        called && !is_reply(body)
     }
 }
+
+/// Tells whether a message gives a blank replica the start of a log.
+fn teaches(body: &message::Body) -> bool {
+    match body {
+        message::Body::Append(append) => {
+            append.previous.version.0 == 0 && !append.entries.is_empty()
+        }
+        message::Body::Snapshot(_) => true,
+        _ => false,
+    }
+}
+
+fn is_reply(body: &message::Body) -> bool {
+    matches!(
+        body,
+        message::Body::PreVoteReply(_)
+            | message::Body::VoteReply(_)
+            | message::Body::AppendReply(_)
+            | message::Body::ChunkReply(_)
+    )
+}
--- a/crates/yucca-log/tests/membership_changes.rs
+++ b/crates/yucca-log/tests/membership_changes.rs
@@ -182,3 +182,33 @@
         "it founded another log"
     );
 }
+
+#[test]
+fn a_founder_lost_at_any_point_of_the_founding_leaves_one_log() {
+    for step in 0..60 {
+        let mut net = Net::empty(step);
+        let founders: Vec<_> = ["a", "b", "c"].map(host).into();
+        for name in ["a", "b", "c"] {
+            let mut config = node::Config::new(host(name), "test");
+            config.founders = founders.clone();
+            net.add_with(config, storage::Recovered::blank(1), true);
+        }
+        net.run_until(millis(5_000), |net| {
+            net.node(&host("a")).cluster().is_some()
+        });
+        net.run(std::time::Duration::from_micros(100 * step));
+        net.restart(&host("a"));
+        net.run(millis(10_000));
+        net.commit("one");
+        let leader = net.leader().unwrap();
+        let cluster = net.node(&leader).cluster();
+        let others = net
+            .slots
+            .values()
+            .filter_map(|slot| slot.node.as_ref()?.cluster());
+        assert!(
+            others.into_iter().all(|other| Some(other) == cluster),
+            "step {step}"
+        );
+    }
+}
