--- a/crates/yucca-log/tests/membership_changes.rs
+++ b/crates/yucca-log/tests/membership_changes.rs
@@ -163,3 +163,52 @@
     net.commit("two");
     assert_eq!(net.node(&host("b")).cluster(), cluster);
 }
+
+#[test]
+fn no_log_is_founded_while_a_peer_is_a_member_of_one() {
+    let mut net = Net::new(&["w1", "w2", "w3"], 8);
+    net.commit("one");
+    let founders: Vec<_> = ["a", "b"].map(host).into();
+    for name in ["a", "b"] {
+        let mut config = node::Config::new(host(name), "test");
+        config.founders = founders.clone();
+        config.peers = vec![host("w3")];
+        net.add_with(config, storage::Recovered::blank(1), true);
+    }
+    net.run(millis(5_000));
+    assert_eq!(
+        net.node(&host("a")).cluster(),
+        None,
+        "it founded another log"
+    );
+}
+
+#[test]
+fn a_founder_lost_at_any_point_of_the_founding_leaves_one_log() {
+    for step in 0..60 {
+        let mut net = Net::empty(step);
+        let founders: Vec<_> = ["a", "b", "c"].map(host).into();
+        for name in ["a", "b", "c"] {
+            let mut config = node::Config::new(host(name), "test");
+            config.founders = founders.clone();
+            net.add_with(config, storage::Recovered::blank(1), true);
+        }
+        net.run_until(millis(5_000), |net| {
+            net.node(&host("a")).cluster().is_some()
+        });
+        net.run(std::time::Duration::from_micros(100 * step));
+        net.restart(&host("a"));
+        net.run(millis(10_000));
+        net.commit("one");
+        let leader = net.leader().unwrap();
+        let cluster = net.node(&leader).cluster();
+        let others = net
+            .slots
+            .values()
+            .filter_map(|slot| slot.node.as_ref()?.cluster());
+        assert!(
+            others.into_iter().all(|other| Some(other) == cluster),
+            "step {step}"
+        );
+    }
+}
