--- a/crates/yucca-dev/src/bin/yucca-dev.rs
+++ b/crates/yucca-dev/src/bin/yucca-dev.rs
@@ -32,6 +32,8 @@
     /// The first of its ports; 0 takes free ones
     #[bpaf(argument("BASE"), fallback(7400), display_fallback)]
     port: u16,
+    /// Leave out the forwarders by which domains can be cut off, for measurements
+    without_cuts: bool,
     /// The seed of the targets' service times
     #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
     seed: u64,
@@ -79,6 +81,7 @@
         port,
         warmup: WARMUP,
         seed: options.seed,
+        cuts: !options.without_cuts,
         control: None,
     };
     let cluster = cluster::Cluster::start(settings).await;
--- a/crates/yucca-dev/src/cluster/mod.rs
+++ b/crates/yucca-dev/src/cluster/mod.rs
@@ -44,6 +44,8 @@
     pub warmup: time::Duration,
     /// The seed of the targets' service times.
     pub seed: u64,
+    /// Whether requests between entry hosts pass forwarders, by which domains can be cut off.
+    pub cuts: bool,
     /// A control process elsewhere, to which all hosts report; none starts one on each host.
     pub control: Option<net::SocketAddr>,
 }
@@ -80,6 +82,8 @@
         /// The name.
         name: String,
     },
+    /// The deployment was started without forwarders.
+    NoCuts,
     /// A host's process is already in the wanted state.
     State {
         /// The host.
@@ -113,6 +117,9 @@
                 f,
                 "there is no {what} {name:?}; GET /targets and GET /hosts list what there is"
             ),
+            Self::NoCuts => f.write_str(
+                "domains cannot be cut off without forwarders; start without --without-cuts",
+            ),
             Self::State { host, state } => write!(f, "the process of host {host} is {state}"),
         }
     }
@@ -150,6 +157,7 @@
     served: sync::Mutex<fleet::Fleet>,
     spare: fleet::Fleet,
     cuts: sync::Arc<relay::Cuts>,
+    can_cut: bool,
     /// The hosts' disks, removed with the deployment.
     _data: tempfile::TempDir,
 }
@@ -187,6 +195,7 @@
             spare: spare.map_err(Error::Fleet)?,
             hosts: Mutex::new(hosts),
             cuts,
+            can_cut: settings.cuts,
             _data: data,
             deployment: settings.deployment,
         })
@@ -200,7 +209,10 @@
             let domain = ticket.domains.get_mut(host.domain.as_str());
             let stated = domain.and_then(|domain| domain.hosts.get_mut(name.as_str()));
             if let Some(stated) = stated {
-                stated.peer = host.entry_peer().to_string();
+                stated.peer = match self.can_cut {
+                    true => host.entry_peer().to_string(),
+                    false => host.entry_settings.peer.to_string(),
+                };
                 stated.control = host.control_peer().to_string();
             }
         }
@@ -336,6 +348,9 @@
     }
 
     fn pair(&self, one: &id::Domain, other: &id::Domain) -> Result<relay::Pair, Error> {
+        if !self.can_cut {
+            return Err(Error::NoCuts);
+        }
         Ok(relay::Pair::new(self.number(one)?, self.number(other)?))
     }
 
--- a/crates/yucca-dev/tests/lost_hosts.rs
+++ b/crates/yucca-dev/tests/lost_hosts.rs
@@ -5,7 +5,7 @@
 mod stage;
 mod support;
 
-use stage::{Stage, send_work, until_served};
+use stage::{Stage, guarded, send_work, until_served};
 use test_case::test_case;
 use yucca_dev::cluster::fault::Fault;
 
@@ -28,9 +28,12 @@
     }
     let started =
         || (0..RENEWALS).any(|number| !stage.runs(&format!("renewal-{number}")).is_empty());
-    while !started() {
-        tokio::task::yield_now().await;
-    }
+    let started = async {
+        while !started() {
+            tokio::task::yield_now().await;
+        }
+    };
+    guarded("a renewal starts", started).await;
     stage.inflict(fault).await;
     callers.join_all().await
 }
--- a/crates/yucca-dev/tests/support/stage.rs
+++ b/crates/yucca-dev/tests/support/stage.rs
@@ -33,10 +33,12 @@
             port: None,
             warmup: time::Duration::ZERO,
             seed: 1,
+            cuts: true,
             control: None,
         };
         let cluster = cluster::Cluster::start(settings).await.unwrap();
-        cluster::start::serve(&cluster).await.unwrap();
+        let served = cluster::start::serve(&cluster);
+        guarded("the deployment serves", served).await.unwrap();
         Self {
             cluster: sync::Arc::new(cluster),
         }
@@ -117,23 +119,39 @@
     }
 }
 
+/// Keeps a test that waits for what never comes from running for ever. It is no bound on how long
+/// anything may take.
+const HANG_GUARD: time::Duration = time::Duration::from_secs(60);
+
+/// Awaits a condition, and fails the test where it never comes true.
+pub async fn guarded<F: Future>(awaited: &str, condition: F) -> F::Output {
+    let done = tokio::time::timeout(HANG_GUARD, condition).await;
+    done.unwrap_or_else(|_| panic!("it never came true that {awaited}"))
+}
+
 /// Sends a request until it is served.
 pub async fn until_served(entry: net::SocketAddr, method: &str, path: &str, echo: &str) -> Seen {
-    loop {
-        let seen = send(entry, method, path, echo).await;
-        if seen.status == 200 {
-            return seen;
+    let served = async {
+        loop {
+            let seen = send(entry, method, path, echo).await;
+            if seen.status == 200 {
+                return seen;
+            }
         }
-    }
+    };
+    guarded(&format!("{method} {path} is served"), served).await
 }
 
 /// Sends a request until another target than `not` serves it.
 pub async fn until_moved(entry: net::SocketAddr, path: &str, not: &id::Target) -> id::Target {
-    loop {
-        let seen = until_served(entry, "GET", path, "moved").await;
-        let target = seen.target.unwrap();
-        if target != *not {
-            return target;
+    let moved = async {
+        loop {
+            let seen = send(entry, "GET", path, "moved").await;
+            match seen.target {
+                Some(target) if target != *not => return target,
+                _ => {}
+            }
         }
-    }
+    };
+    guarded(&format!("{path} moves away from {not}"), moved).await
 }
