--- a/crates/yucca-dev/src/cluster/host.rs
+++ b/crates/yucca-dev/src/cluster/host.rs
@@ -98,6 +98,7 @@
         use yucca_control::settings;
         use yucca_wire::unit::Span;
         settings::Settings {
+            local: Some(self.number.source()),
             deployment: super::DEPLOYMENT.into(),
             host: self.name.clone(),
             domain: self.domain.clone(),
@@ -106,7 +107,6 @@
                 operator: self.listen(Listener::Operator),
                 peer: Self::behind_relay(),
                 health: self.listen(Listener::Health),
-                local: Some(self.number.source()),
             },
             secrets: settings::Secrets {
                 operator: auth::Secret::new(super::OPERATOR_SECRET),
--- a/crates/yucca-lane/src/lane.rs
+++ b/crates/yucca-lane/src/lane.rs
@@ -18,6 +18,7 @@
 use crate::slots;
 
 mod admit;
+mod callers;
 mod dispatch;
 mod expire;
 mod finish;
@@ -25,6 +26,8 @@
 mod leave;
 mod moves;
 mod output;
+mod pace;
+mod retry;
 mod shed;
 mod takeover;
 
@@ -87,6 +90,8 @@
     ghosts: Vec<request::Ghost>,
     short_time: estimate::Estimate,
     long_time: estimate::Estimate,
+    /// How many slots short work holds, on average.
+    short_level: estimate::Level,
     budget: budget::Budget,
     evidence: evidence::Evidence,
     owners: owners::Owners,
@@ -127,6 +132,7 @@
             ghosts: Vec::new(),
             short_time: estimate::Estimate::default(),
             long_time: estimate::Estimate::default(),
+            short_level: estimate::Level::default(),
             budget: budget::Budget::new(config.retry.budget),
             evidence: evidence::Evidence::new(now),
             owners: owners::Owners::default(),
@@ -148,6 +154,8 @@
     /// Takes in what happened and returns what to do, in order.
     pub fn step(&mut self, input: Input, now: Duration) -> Vec<Output> {
         self.now = self.now.max(now);
+        let busy = self.slots.held() - self.slots.held_long();
+        self.short_level.update(f64::from(busy), self.now);
         self.expire();
         self.take(input);
         self.dispatch();
@@ -180,6 +188,7 @@
         let others = [
             self.slots.next_growth(),
             self.evidence.next_dial().filter(|_| !self.is_closed()),
+            self.evidence.next_judgement(),
             self.next_attempt_event(),
             self.next_leave_event(),
             self.foreign_until,
@@ -254,7 +263,8 @@
     fn may_send(&self) -> bool {
         let leased = self.config.lease.is_none_or(|until| self.now < until);
         let silent = self.evidence.state() == evidence::State::Silent;
-        leased && !self.is_closed() && !silent && !self.evidence.is_blamed()
+        let tried = self.evidence.is_on_trial() && self.slots.held() > 0;
+        leased && !self.is_closed() && !silent && !tried && !self.evidence.is_blamed()
     }
 
     /// Tells whether the lane was handed over or taken over.
--- a/crates/yucca-lane/src/lane/expire.rs
+++ b/crates/yucca-lane/src/lane/expire.rs
@@ -29,6 +29,7 @@
         self.expire_running();
         self.expire_waiting();
         self.end_drain();
+        self.evidence.judge(now);
         if !self.is_closed() && self.evidence.dial_due(now) {
             self.out.push(Output::Dial);
         }
@@ -95,8 +96,10 @@
     }
 
     fn expire_running(&mut self) {
-        for id in self.running.clone() {
-            self.expire_attempt(id);
+        for at in 0..self.running.len() {
+            if let Some(id) = self.running.get(at).copied() {
+                self.expire_attempt(id);
+            }
         }
     }
 
