Entry: signs of life, releases without the target, relays, lanes that end

Cause: three tests of yucca-dev failed. A frozen target takes connections, so a dial counted as an answer; a dead target answers no revocation, so its shards never came free; a connection into a cut was taken and passed nothing on, so a request counted as perhaps sent and no relay was tried. A lane without a place in the table went on taking work. Ruled out: the decisions of the lane and of the domain; both acted on what they were told. Change: a dial is an order that changes nothing and must be answered; a revocation counts after two orders without answer, since the lane is the only sender; a new connection to a peer is greeted before it is used; a lane that the table no longer places is handed to its standby and reported as left; a report names at most 32 hot keys. Before: a_frozen_targets_keys_are_served_elsewhere, a_lost_targets_keys_are_served_elsewhere and a_third_domain_relays failed. After: all ten tests of target_faults, domain_cuts and whole_path pass.

--- a/crates/yucca-entry/src/connection/peers.rs
+++ b/crates/yucca-entry/src/connection/peers.rs
@@ -10,6 +10,7 @@
 use hyper::client::conn::http2;
 use hyper_util::rt;
 use indexmap::IndexMap;
+use tokio::time;
 use yucca_wire::auth;
 
 use crate::connection::socket;
@@ -27,6 +28,9 @@
 /// The flow-control window of a connection, in bytes.
 const CONNECTION_WINDOW: u32 = 4 << 20;
 
+/// The path that a new connection is greeted on; any answer will do.
+const GREETING_PATH: &str = "/greeting";
+
 /// Connections to one peer; requests are spread over them.
 const CONNECTIONS: usize = 2;
 
@@ -190,12 +194,34 @@
         .initial_connection_window_size(CONNECTION_WINDOW)
         .handshake(rt::TokioIo::new(stream))
         .await;
-    let (sender, connection) = handshake.map_err(|source| Error::Exchange { address, source })?;
+    let (mut sender, connection) =
+        handshake.map_err(|source| Error::Exchange { address, source })?;
     tokio::spawn(async move {
         if let Err(error) = connection.await {
             metrics::counter!("yucca_peer_connections_failed_total").increment(1);
             log::debug!("connection to peer {address} ended: {error}");
         }
     });
+    greet(address, &mut sender).await?;
     Ok(sender)
 }
+
+/// Asks for any answer before a new connection is used.
+///
+/// Something on the way may take the connection and pass nothing on. What is sent afterwards has
+/// reached a peer that answers, so that until then a request certainly did not.
+async fn greet(address: net::SocketAddr, sender: &mut Sender) -> Result<(), Error> {
+    let mut request = http::Request::new(body::full(bytes::Bytes::new()));
+    *request.uri_mut() = peer_uri(address, GREETING_PATH);
+    match time::timeout(socket::DIAL_TIMEOUT, sender.send_request(request)).await {
+        Ok(Ok(_)) => Ok(()),
+        Ok(Err(source)) => Err(Error::Dial {
+            address,
+            source: io::Error::other(source),
+        }),
+        Err(_) => Err(Error::Dial {
+            address,
+            source: io::Error::from(io::ErrorKind::TimedOut),
+        }),
+    }
+}
--- a/crates/yucca-entry/src/process/lanes/attempt.rs
+++ b/crates/yucca-entry/src/process/lanes/attempt.rs
@@ -14,6 +14,7 @@
 use yucca_wire::id;
 
 use crate::connection::pool;
+use crate::process::lanes::grants;
 use crate::process::lanes::runtime;
 use crate::process::shared;
 use crate::request::answer;
@@ -348,14 +349,12 @@
     })
 }
 
-/// Makes a new connection and tells the lane whether the target took it.
+/// Asks the target for a sign of life over a new connection and tells the lane.
 pub async fn dial(shared: &sync::Arc<shared::Shared>, runtime: &sync::Arc<runtime::Runtime>) {
-    let input = match runtime.pool.dial().await {
-        Ok(connection) => {
-            runtime.pool.put(connection);
-            lane::Input::Alive
-        }
-        Err(_) => lane::Input::Silent,
+    let input = if grants::ask(runtime).await {
+        lane::Input::Alive
+    } else {
+        lane::Input::Silent
     };
     runtime.step(shared, input);
 }
--- a/crates/yucca-entry/src/process/lanes/grants.rs
+++ b/crates/yucca-entry/src/process/lanes/grants.rs
@@ -27,6 +27,9 @@
 /// How long an order may take before it is sent again on a new connection.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(200);
 
+/// How often a revocation is sent to a target that answers none.
+const REVOKE_TRIES: u32 = 2;
+
 /// How long to wait before an order that failed is sent again.
 const RETRY_PAUSE: Duration = Duration::from_millis(20);
 
@@ -65,6 +68,7 @@
     Revoke {
         scope: owners::Scope,
         release: report::Release,
+        tries: u32,
     },
 }
 
@@ -164,7 +168,11 @@
             _ if line.moving => {
                 // Moving before this lane knew it: the target has no grant from this lane.
                 let release = release(&scope, line.token);
-                self.pending.push(Change::Revoke { scope, release });
+                self.pending.push(Change::Revoke {
+                    scope,
+                    release,
+                    tries: 0,
+                });
                 None
             }
             _ => {
@@ -210,7 +218,11 @@
         },
     };
     let mut told = runtime.grants.lock();
-    told.pending.push(Change::Revoke { scope, release });
+    told.pending.push(Change::Revoke {
+        scope,
+        release,
+        tries: 0,
+    });
     runtime.grants.wake.notify_one();
 }
 
@@ -231,11 +243,40 @@
         } else {
             metrics::counter!("yucca_orders_failed_total").increment(1);
             time::sleep(RETRY_PAUSE).await;
-            runtime.grants.put_back(changes);
+            let (given_up, again) = sort_failed(changes);
+            confirmed(&shared, &runtime, given_up).await;
+            runtime.grants.put_back(again);
         }
     }
 }
 
+/// Parts revocations that count without the target's word from what is sent again.
+///
+/// The lane is the only sender, and it has ended what it had sent for the scope: a target that
+/// answers no order hears nothing of the scope any more.
+fn sort_failed(changes: Vec<Change>) -> (Vec<Change>, Vec<Change>) {
+    let mut given_up = Vec::new();
+    let mut again = Vec::new();
+    for mut change in changes {
+        if let Change::Revoke { tries, .. } = &mut change {
+            *tries += 1;
+            if *tries >= REVOKE_TRIES {
+                given_up.push(change);
+                continue;
+            }
+        }
+        again.push(change);
+    }
+    (given_up, again)
+}
+
+/// Asks the target for a sign of life over a new connection: an order that changes nothing.
+///
+/// A frozen target takes connections and answers nothing, so that a connection alone is no sign.
+pub async fn ask(runtime: &sync::Arc<runtime::Runtime>) -> bool {
+    send(runtime, &order(runtime.token(), &[])).await
+}
+
 fn order(token: id::Token, changes: &[Change]) -> grant::Order {
     let mut order = grant::Order {
         token,
@@ -249,7 +290,7 @@
             Change::Grant { scope, token, .. } => {
                 (scope, *token, &mut order.granted, &mut order.pinned)
             }
-            Change::Revoke { scope, release } => (
+            Change::Revoke { scope, release, .. } => (
                 scope,
                 release.token,
                 &mut order.revoked,
@@ -323,7 +364,7 @@
                 };
                 runtime.step(shared, lane::Input::Owners(change));
             }
-            Change::Revoke { scope, release } => {
+            Change::Revoke { scope, release, .. } => {
                 let mut told = runtime.grants.lock();
                 if told.scopes.contains_key(&scope) {
                     told.released.insert(scope, release);
--- a/crates/yucca-entry/src/process/lanes/reconcile.rs
+++ b/crates/yucca-entry/src/process/lanes/reconcile.rs
@@ -47,12 +47,12 @@
             continue;
         }
         let next = local.targets.get(runtime.target());
-        let to = next.and_then(|target| target.lane.clone());
-        let over = to.is_none() || runtime.is_handed_over();
-        if over && runtime.is_idle() {
-            shared.lanes.close(&runtime);
-        } else if let Some(to) = to {
-            runtime.hand_over(shared, to);
+        // While a lane changes hands the table names none, and the standby is the one to follow.
+        let to = next.and_then(|target| target.lane.clone().or_else(|| target.standby.clone()));
+        match to {
+            Some(to) => runtime.hand_over(shared, to),
+            None if runtime.is_idle() => shared.lanes.close(&runtime),
+            None => {}
         }
     }
 }
--- a/crates/yucca-entry/src/process/lanes/runtime.rs
+++ b/crates/yucca-entry/src/process/lanes/runtime.rs
@@ -3,6 +3,7 @@
 use std::sync;
 use std::time::Duration;
 
+use bytes::Bytes;
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 use tokio::task;
@@ -27,6 +28,9 @@
 use crate::request::answer;
 use crate::request::body;
 
+/// The most keys that one report names as hot.
+const HOT_KEYS: usize = 32;
+
 /// One lane at work.
 pub struct Runtime {
     target: id::Target,
@@ -154,12 +158,20 @@
         self.lock().lane.snapshot(Some(shard))
     }
 
+    /// Tells whether a request runs or ran here, as far as the ledger reaches.
+    pub fn knows(&self, id: id::Request) -> bool {
+        let state = self.lock();
+        state.requests.contains_key(&id) || state.lane.ledger().get(id).is_some()
+    }
+
     /// Returns what was seen since the last call.
     pub fn report(&self) -> report::Lane {
         let mut state = self.lock();
         let mut seen = std::mem::take(&mut state.seen);
         seen.token = self.token;
         seen.released = self.grants.released();
+        seen.left = state.handed.is_some();
+        keep_hottest(&mut seen.hot);
         seen.alive = state.lane.evidence().state() != yucca_lane::evidence::State::Silent;
         seen.copied = state.lane.copied().cloned();
         seen
@@ -515,6 +527,14 @@
     }
 }
 
+/// Leaves only the keys that took the most slot time.
+fn keep_hottest(hot: &mut IndexMap<Bytes, u64>) {
+    if hot.len() > HOT_KEYS {
+        hot.sort_unstable_by(|_, a, _, b| b.cmp(a));
+        hot.truncate(HOT_KEYS);
+    }
+}
+
 fn keep_answer(state: &mut State, id: id::Request) {
     let Some(work) = state.requests.get_mut(&id) else {
         return;
