yucca-dev: ends cleanly on a request to end

Cause: only an interrupt was waited for, so an ended process left the hosts' disks behind in the temporary folder. Change: it waits for both signals.

--- a/crates/yucca-dev/src/bin/yucca-dev.rs
+++ b/crates/yucca-dev/src/bin/yucca-dev.rs
@@ -7,6 +7,7 @@
 use std::time;
 
 use bpaf::Bpaf;
+use tokio::signal::unix;
 use yucca_dev::cluster;
 use yucca_dev::deployment;
 use yucca_dev::load::place;
@@ -46,6 +47,7 @@
     Cluster(cluster::Error),
     Log(flexi_logger::FlexiLoggerError),
     Print(std::io::Error),
+    Signal(std::io::Error),
 }
 
 impl std::fmt::Display for Error {
@@ -55,6 +57,7 @@
             Self::Cluster(error) => error.fmt(f),
             Self::Log(error) => write!(f, "cannot start the log: {error}; check RUST_LOG"),
             Self::Print(error) => write!(f, "cannot print the ready line: {error}"),
+            Self::Signal(error) => write!(f, "cannot wait for signals: {error}"),
         }
     }
 }
@@ -100,8 +103,17 @@
         faults: format!("http://{}", faults.address()),
     })
     .map_err(Error::Print)?;
-    // An interrupt ends the process: nothing here outlives it.
-    let _ = tokio::signal::ctrl_c().await;
+    stop_signal().await.map_err(Error::Signal)
+}
+
+/// Waits for an interrupt or a request to end; the hosts' disks are removed after it.
+async fn stop_signal() -> std::io::Result<()> {
+    let mut terminate = unix::signal(unix::SignalKind::terminate())?;
+    let mut interrupt = unix::signal(unix::SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
     Ok(())
 }
 
