Entry: copies of a ledger name the start of the standby's process

Change: a lane asks the standby which start it is, and copies and questions for leave name it; a later start answers that it has no copy.

--- a/crates/yucca-entry/src/process/lanes/message.rs
+++ b/crates/yucca-entry/src/process/lanes/message.rs
@@ -33,13 +33,25 @@
     pub target: id::Target,
     /// The fencing token of the lane that sends it.
     pub token: id::Token,
+    /// The start of the standby's process that the sender means, where it matters.
+    pub start: Option<Start>,
     /// What it says.
     pub kind: Kind,
 }
 
+/// One start of an entry process. A standby that restarted has lost its ledgers, so that a message
+/// to an earlier start must not count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Start(pub u64);
+
 /// What a message says.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Kind {
+    /// To the standby: which start of your process is this?
+    Greet,
+    /// Does this host's lane of the target know the request?
+    Knows(id::Request),
     /// To the standby: write this entry and give leave to send.
     Copy(ledger::Entry),
     /// To the standby: here is the whole ledger.
@@ -67,6 +79,10 @@
 /// The answer to a message.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
+    /// The start of the receiver's process.
+    Started(Start),
+    /// Whether the lane knows the request.
+    Knows(bool),
     /// Done; for a copy: leave to send.
     Done,
     /// Leave is not given: the sender's lane was taken over.
@@ -101,7 +117,9 @@
             Self::NoCopy => lane::Reason::NoCopy,
             Self::Full => lane::Reason::Full,
             Self::Stale => lane::Reason::Stale,
-            Self::Done | Self::Ledger(_) | Self::NotHere => lane::Reason::Unreachable,
+            Self::Done | Self::Ledger(_) | Self::NotHere | Self::Started(_) | Self::Knows(_) => {
+                lane::Reason::Unreachable
+            }
         }
     }
 }
@@ -131,6 +149,12 @@
             number,
             ledger,
         } => {
+            // The copy names the start that answered, so that it counts for no later one.
+            let greeted = send(shared, runtime, &standby, Kind::Greet).await;
+            let Some(Reply::Started(start)) = greeted else {
+                return;
+            };
+            runtime.set_standby_start(start);
             let kind = Kind::CopyAll { number, ledger };
             if let Some(Reply::Done) = send(shared, runtime, &standby, kind).await {
                 runtime.step(shared, lane::Input::Copied { standby, number });
@@ -158,6 +182,7 @@
     let message = Message {
         target: runtime.target().clone(),
         token: runtime.token(),
+        start: runtime.standby_start(),
         kind,
     };
     post(shared, to, &message).await
@@ -201,6 +226,25 @@
     }
 }
 
+/// Asks the lane of a target whether it knows a request; none where no answer came.
+pub async fn knows(
+    shared: &sync::Arc<shared::Shared>,
+    target: &id::Target,
+    request: id::Request,
+) -> Option<bool> {
+    let host = shared.current.load().target(target)?.1.lane.clone()?;
+    let message = Message {
+        target: target.clone(),
+        token: id::Token::default(),
+        start: None,
+        kind: Kind::Knows(request),
+    };
+    match post(shared, &host, &message).await? {
+        Reply::Knows(knows) => Some(knows),
+        _ => None,
+    }
+}
+
 async fn ask_ledger(
     shared: &sync::Arc<shared::Shared>,
     earlier: &id::Target,
@@ -210,6 +254,7 @@
     let message = Message {
         target: earlier.clone(),
         token: id::Token::default(),
+        start: None,
         kind: Kind::Ledger(shard),
     };
     post(shared, &host, &message).await
@@ -220,11 +265,21 @@
     let Message {
         target,
         token,
+        start,
         kind,
     } = message;
     let standbys = &shared.lanes.standbys;
     let now = shared.now();
+    let asks_standby = matches!(kind, Kind::Copy(_) | Kind::CopyAll { .. });
+    if asks_standby && start != Some(shared.process_start) {
+        return Reply::NoCopy;
+    }
     match kind {
+        Kind::Greet => Reply::Started(shared.process_start),
+        Kind::Knows(id) => match shared.lanes.get(&target) {
+            Some(runtime) => Reply::Knows(runtime.knows(id)),
+            None => Reply::NotHere,
+        },
         Kind::Copy(entry) => standbys.step(&target, standby::Input::Copy { token, entry }, now),
         Kind::CopyAll { number, ledger } => {
             let input = standby::Input::CopyAll {
--- a/crates/yucca-entry/src/process/lanes/runtime.rs
+++ b/crates/yucca-entry/src/process/lanes/runtime.rs
@@ -50,6 +50,7 @@
     config: lane::Config,
     drain: bool,
     handed: Option<id::Host>,
+    standby_start: Option<message::Start>,
     requests: IndexMap<id::Request, Work>,
     callers: IndexMap<request::Caller, Waiting>,
     next_caller: u64,
@@ -112,6 +113,7 @@
                 config,
                 drain: false,
                 handed: None,
+                standby_start: None,
                 requests: IndexMap::new(),
                 callers: IndexMap::new(),
                 next_caller: 0,
@@ -158,6 +160,16 @@
         self.lock().lane.snapshot(Some(shard))
     }
 
+    /// Returns the start of the standby's process that has the ledger.
+    pub fn standby_start(&self) -> Option<message::Start> {
+        self.lock().standby_start
+    }
+
+    /// Sets the start of the standby's process that gets the ledger.
+    pub fn set_standby_start(&self, start: message::Start) {
+        self.lock().standby_start = Some(start);
+    }
+
     /// Tells whether a request runs or ran here, as far as the ledger reaches.
     pub fn knows(&self, id: id::Request) -> bool {
         let state = self.lock();
--- a/crates/yucca-entry/src/process/shared.rs
+++ b/crates/yucca-entry/src/process/shared.rs
@@ -13,6 +13,7 @@
 use crate::connection::peers;
 use crate::process::announce;
 use crate::process::lanes;
+use crate::process::lanes::message;
 use crate::request::choose;
 use crate::settings;
 use crate::version::current;
@@ -37,6 +38,8 @@
     pub phase: watch::Sender<Phase>,
     /// Requests of callers in flight.
     pub in_flight: sync::atomic::AtomicUsize,
+    /// Tells this start of the process apart from others.
+    pub process_start: message::Start,
     start: time::Instant,
 }
 
@@ -65,6 +68,7 @@
             announced: announce::Announced::default(),
             phase: watch::Sender::new(Phase::Starting),
             in_flight: sync::atomic::AtomicUsize::new(0),
+            process_start: message::Start(rand::random()),
             start: time::Instant::now(),
             settings,
         }
