Entry: a caller's id of a pool service meets one ledger wherever it enters

Change: work that runs once only and whose id the caller chose goes to the target that a hash of the id ranks first; those before it in rank and the next behind it are asked whether they know the id. Other pool work stays with the lighter of two, a local target being kept unless the other is lighter by one request. Conclusion: ids hold across entry hosts; their placement is by hash, not by load.

--- a/crates/yucca-entry/src/request/choose.rs
+++ b/crates/yucca-entry/src/request/choose.rs
@@ -1,18 +1,23 @@
 //! Chooses the target of a request to a pool service.
 //!
-//! Two targets are drawn at random and the less loaded one is taken: first among those of this
-//! host's domain, then, where that one is busy, among those of other domains.
+//! Two targets are drawn at random and the less loaded one is taken, among those of this host's
+//! domain and among those of others; the local one is kept unless the other is lighter by a slot.
+//!
+//! Work that runs once only and whose id the caller chose goes to the target that [`rank`] puts
+//! first, at whatever host it enters, so that the same id meets the same ledger.
 
 use std::sync;
 
 use indexmap::IndexMap;
 use rand::Rng;
+use xxhash_rust::xxh3;
 use yucca_wire::head;
 use yucca_wire::id;
 use yucca_wire::table;
 
-/// The load per slot from which requests go to other domains: all slots busy and one wave waits.
-const SPILL_LOAD: f64 = 2.0;
+/// How many requests less a target of another domain must hold before it is taken: the trip between
+/// domains costs less than a wait behind one request, and domains differ in targets and callers.
+const SPILL_MARGIN: f64 = 1.0;
 
 /// What this host knows of the load of lanes.
 #[derive(Default)]
@@ -81,19 +86,14 @@
 ) -> Option<id::Target> {
     let local = candidates(table, service, tried, |domain| domain == here);
     let near = lighter(loads, &local, rng);
-    if let Some((name, load)) = near
-        && load < SPILL_LOAD
-    {
-        return Some(name.clone());
-    }
     let remote = candidates(table, service, tried, |domain| domain != here);
     let far = lighter(loads, &remote, rng);
     let best = match (near, far) {
-        (Some(near), Some(far)) if far.1 < near.1 => Some(far),
+        (Some(near), Some(far)) if far.1 + far.2 < near.1 => Some(far),
         (Some(near), _) => Some(near),
         (None, far) => far,
     };
-    best.map(|(name, _)| name.clone())
+    best.map(|(name, _, _)| name.clone())
 }
 
 fn candidates<'a>(
@@ -102,30 +102,65 @@
     tried: &[id::Target],
     from: impl Fn(&id::Domain) -> bool,
 ) -> Vec<Candidate<'a>> {
-    let drained = table.global.drains.get(service);
-    let takes_work = |(name, target): &Candidate<'a>| {
-        target.service == *service
-            && target.state == table::State::Serving
-            && target.lane.is_some()
-            && !tried.contains(name)
-            && !drained.is_some_and(|drained| drained.contains(name))
+    let wanted = |(name, target): &Candidate<'a>| {
+        !tried.contains(name) && takes_work(table, service, name, target)
     };
     let locals = table.locals.values().filter(|local| from(&local.domain));
     let targets = locals.flat_map(|local| local.targets.iter());
-    targets.filter(takes_work).collect()
+    targets.filter(wanted).collect()
 }
 
+/// Draws two and returns the lighter one with its load per slot and its margin.
 fn lighter<'a>(
     loads: &Loads,
     candidates: &[Candidate<'a>],
     rng: &mut impl Rng,
-) -> Option<(&'a id::Target, f64)> {
+) -> Option<(&'a id::Target, f64, f64)> {
     if candidates.is_empty() {
         return None;
     }
     let first = candidates[rng.random_range(0..candidates.len())];
     let second = candidates[rng.random_range(0..candidates.len())];
-    let first = (first.0, loads.per_slot(first.0, first.1));
-    let second = (second.0, loads.per_slot(second.0, second.1));
+    let weigh = |(name, target): Candidate<'a>| {
+        let margin = SPILL_MARGIN / f64::from(target.slots.0.max(1));
+        (name, loads.per_slot(name, target), margin)
+    };
+    let first = weigh(first);
+    let second = weigh(second);
     Some(if second.1 < first.1 { second } else { first })
 }
+
+/// Returns all targets of a service, whatever their state, in the order in which they answer for a
+/// request id. A target that comes or goes changes the order of no others.
+pub fn rank<'a>(
+    table: &'a table::Table,
+    service: &id::Service,
+    request: id::Request,
+) -> Vec<(&'a id::Target, &'a table::Target)> {
+    let locals = table.locals.values();
+    let targets = locals.flat_map(|local| local.targets.iter());
+    let mut ranked: Vec<Candidate<'a>> = targets
+        .filter(|(_, target)| target.service == *service)
+        .collect();
+    ranked.sort_by_cached_key(|(name, _)| {
+        let mut hasher = xxh3::Xxh3::with_seed(request.0 as u64);
+        hasher.update(&request.0.to_le_bytes());
+        hasher.update(name.as_str().as_bytes());
+        std::cmp::Reverse(hasher.digest())
+    });
+    ranked
+}
+
+/// Tells whether a target takes new work.
+pub fn takes_work(
+    table: &table::Table,
+    service: &id::Service,
+    name: &id::Target,
+    target: &table::Target,
+) -> bool {
+    let drained = table.global.drains.get(service);
+    target.service == *service
+        && target.state == table::State::Serving
+        && target.lane.is_some()
+        && !drained.is_some_and(|drained| drained.contains(name))
+}
--- a/crates/yucca-entry/src/request/forward.rs
+++ b/crates/yucca-entry/src/request/forward.rs
@@ -16,6 +16,7 @@
 use crate::connection::framed;
 use crate::connection::peers;
 use crate::process::lanes;
+use crate::process::lanes::message;
 use crate::process::shared;
 use crate::request::answer;
 use crate::request::body;
@@ -34,6 +35,10 @@
 /// The longest a request may wait for one answer of a peer beyond its deadline: the trip back.
 const ANSWER_SLACK: Duration = Duration::from_millis(20);
 
+/// How many targets behind the first in rank are asked whether they know an id: as many may have
+/// joined within the time for which ids are remembered.
+const FORMER_HOLDERS: usize = 1;
+
 /// Where a request goes next.
 struct Place {
     domain: id::Domain,
@@ -113,6 +118,11 @@
         while time::Instant::now() < self.deadline {
             changes.borrow_and_update();
             let view = self.shared.current.load();
+            if let Err(problem) = self.settle_holder(&view).await {
+                last = problem;
+                self.pause(&mut changes, Some(RETRY_PAUSE)).await;
+                continue;
+            }
             let place = match self.place(&view) {
                 Ok(place) => place,
                 Err(problem) => {
@@ -124,7 +134,12 @@
             drop(view);
             match self.attempt(&place, &mut kept).await {
                 Try::Done(answer) => return answer,
-                Try::NotSent(problem) => last = problem,
+                Try::NotSent(problem) => {
+                    last = problem;
+                    if !self.resent {
+                        self.held_by = None;
+                    }
+                }
                 Try::Unsure(problem) => {
                     last = problem;
                     self.resent = true;
@@ -183,6 +198,47 @@
         })
     }
 
+    /// Finds the target whose ledger answers for work that runs once only and whose id the caller
+    /// chose: the one that knows the id, or else the first in rank that takes work.
+    async fn settle_holder(&mut self, view: &view::View) -> Result<(), problem::Problem> {
+        let once = self.request.own_id && !self.request.idempotent;
+        if !once || self.request.key.is_some() || self.held_by.is_some() {
+            return Ok(());
+        }
+        let service = &self.request.service;
+        let ranked = choose::rank(&view.table, service, self.request.id);
+        let first = ranked
+            .iter()
+            .position(|(name, target)| choose::takes_work(&view.table, service, name, target));
+        let Some(first) = first else {
+            let detail = format!("no target of {service} takes work now");
+            return Err(problem::Problem::not_run(problem::Kind::NoOwner, detail));
+        };
+        // Those before it may have run the id before they stopped taking work, and those just
+        // behind it before it came.
+        let asked = ranked.iter().enumerate().take(first + 1 + FORMER_HOLDERS);
+        for (at, (name, _)) in asked.filter(|(at, _)| *at != first) {
+            match message::knows(self.shared, name, self.request.id).await {
+                Some(true) => {
+                    self.held_by = Some((*name).clone());
+                    return Ok(());
+                }
+                Some(false) => {}
+                None if at > first => {}
+                None => {
+                    let detail = format!(
+                        "whether {name} ran request {} is not known",
+                        self.request.id
+                    );
+                    let kind = problem::Kind::TargetLost;
+                    return Err(problem::Problem::unknown(kind, detail));
+                }
+            }
+        }
+        self.held_by = Some(ranked[first].0.clone());
+        Ok(())
+    }
+
     fn owner(
         &self,
         table: &table::Table,
