Entry: small modules, counters looked up once a version, upkeep of histograms

Change: such a refusal is answered as unknown; histograms are folded every 5 s; counters belong to the version; hop, arrive and perform are modules of their own; a domain's log takes in only what changed of the global part.

--- a/crates/yucca-cli/src/command/ticket_submit.rs
+++ b/crates/yucca-cli/src/command/ticket_submit.rs
@@ -78,7 +78,7 @@
                 let json = serde_json::json!({ "accepted": accepted, "in_force": force });
                 return Ok(show::Report::new(json, text));
             }
-            if missing != shown {
+            if missing != shown && !missing.is_empty() {
                 eprintln!("waiting for {}", missing.join(", "));
                 shown.clone_from(&missing);
             }
--- a/crates/yucca-cli/src/error.rs
+++ b/crates/yucca-cli/src/error.rs
@@ -95,6 +95,10 @@
                 f,
                 "the number stands for other content\n--- stands\n{standing:#}\n+++ submitted\n{submitted:#}\nsubmit yours under a number of its own, if it is still wanted"
             ),
+            Self::NotInForce { number, missing } if missing.is_empty() => write!(
+                f,
+                "ticket {number} is accepted, and where it is in force could not be asked; `yucca ticket status {number}` tells more"
+            ),
             Self::NotInForce { number, missing } => write!(
                 f,
                 "ticket {number} is accepted, and not yet in force on {}; `yucca ticket status {number}` tells more",
--- a/crates/yucca-control/src/process/lead.rs
+++ b/crates/yucca-control/src/process/lead.rs
@@ -125,9 +125,9 @@
         machine.state.plan(&evidence, now)
     };
     let global = core.feed.global();
-    let taken = lock(&seat.machine).state.global().version;
-    if global.version > taken {
-        commands.insert(0, domain::Command::Global(global));
+    let newer = lock(&seat.machine).state.follow(&global);
+    if let Some(command) = newer {
+        commands.insert(0, command);
     }
     let proposals = commands
         .iter()
--- a/crates/yucca-entry/src/connection/peers.rs
+++ b/crates/yucca-entry/src/connection/peers.rs
@@ -96,7 +96,7 @@
 
 /// Connections to peers, opened at need.
 pub struct Peers {
-    secret: auth::Secret,
+    authorization: Option<header::HeaderValue>,
     local: Option<net::IpAddr>,
     // A leaf in the lock order.
     open: sync::Mutex<IndexMap<net::SocketAddr, Vec<Sender>>>,
@@ -105,9 +105,10 @@
 
 impl Peers {
     /// Returns a set without connections.
-    pub fn new(secret: auth::Secret) -> Self {
+    pub fn new(secret: &auth::Secret) -> Self {
+        let authorization = header::HeaderValue::from_str(&secret.header());
         Self {
-            secret,
+            authorization: authorization.ok(),
             local: None,
             open: sync::Mutex::default(),
             next: sync::atomic::AtomicUsize::new(0),
@@ -134,7 +135,7 @@
         let mut request = http::Request::new(message);
         *request.method_mut() = http::Method::POST;
         *request.uri_mut() = peer_uri(address, path);
-        if let Ok(value) = header::HeaderValue::from_str(&self.secret.header()) {
+        if let Some(value) = self.authorization.clone() {
             request.headers_mut().insert(header::AUTHORIZATION, value);
         }
         let sent = sender.send_request(request).await;
--- a/crates/yucca-entry/src/process/callers.rs
+++ b/crates/yucca-entry/src/process/callers.rs
@@ -2,21 +2,16 @@
 
 use std::sync;
 use std::sync::atomic;
-use std::time::Duration;
 
 use http_body_util::BodyExt;
 use tokio::time;
-use yucca_wire::id;
 use yucca_wire::problem;
-use yucca_wire::table;
 
 use crate::process::shared;
 use crate::request::answer;
 use crate::request::body;
 use crate::request::forward;
-use crate::request::measure;
 use crate::request::parse;
-use crate::version::view;
 
 /// Counts a request in flight until it is dropped.
 struct InFlight(sync::Arc<shared::Shared>);
@@ -60,19 +55,14 @@
         Err(problem) => return answer::refused(&problem, None),
     };
     let service = read.service.clone();
-    let class = read.class;
-    let objective = objective(&view, &service, class);
+    let counters = view.counters(&service, read.class);
     drop(view);
     let began = time::Instant::now();
     let stream = body::incoming(incoming, read.body_limit);
     let answer = forward::run(&shared, read, &parts, stream).await;
-    measure::count(
-        &service,
-        class,
-        &answer.head.verdict,
-        began.elapsed(),
-        objective,
-    );
+    if let Some(counters) = counters {
+        counters.count(&answer.head.verdict, began.elapsed());
+    }
     // The request is in flight until the caller has the last byte of the answer.
     answer.into_response(&service).map(|stream| {
         stream
@@ -80,9 +70,3 @@
             .boxed_unsync()
     })
 }
-
-/// Returns the latency that a service promises for a class.
-fn objective(view: &view::View, service: &id::Service, class: table::Class) -> Option<Duration> {
-    let service = view.table.global.services.get(service)?;
-    Some(service.objectives.get(&class)?.latency.0)
-}
--- a/crates/yucca-entry/src/process/lanes/runtime.rs
+++ b/crates/yucca-entry/src/process/lanes/runtime.rs
@@ -7,15 +7,12 @@
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
 use tokio::task;
-use tokio::time;
-use xxhash_rust::xxh3;
 use yucca_lane::lane;
 use yucca_lane::ledger;
 use yucca_lane::request;
 use yucca_wire::head;
 use yucca_wire::id;
 use yucca_wire::key;
-use yucca_wire::problem;
 use yucca_wire::report;
 use yucca_wire::table;
 
@@ -31,6 +28,9 @@
 /// The most keys that one report names as hot.
 const HOT_KEYS: usize = 32;
 
+mod arrive;
+mod perform;
+
 /// One lane at work.
 pub struct Runtime {
     target: id::Target,
@@ -72,26 +72,6 @@
     sender: oneshot::Sender<answer::Answer>,
 }
 
-/// Tells the lane that a caller hung up, unless it was answered.
-struct Hangup {
-    runtime: sync::Arc<Runtime>,
-    shared: sync::Arc<shared::Shared>,
-    id: id::Request,
-    caller: request::Caller,
-}
-
-impl Drop for Hangup {
-    fn drop(&mut self) {
-        if self.runtime.forget(self.caller) {
-            let input = lane::Input::Cancel {
-                id: self.id,
-                caller: self.caller,
-            };
-            self.runtime.step(&self.shared, input);
-        }
-    }
-}
-
 impl Runtime {
     /// Returns a lane for a target of the current version.
     pub fn new(
@@ -233,113 +213,6 @@
         }
     }
 
-    /// Takes a request through the lane.
-    pub async fn run(
-        self: &sync::Arc<Self>,
-        shared: &sync::Arc<shared::Shared>,
-        head: head::Request,
-        stream: body::Stream,
-        deadline: time::Instant,
-    ) -> answer::Answer {
-        let kept = match time::timeout_at(deadline, body::Kept::read(stream)).await {
-            Ok(Ok(kept)) => kept,
-            Ok(Err(error)) => return self.refusal(problem::Kind::BadRequest, error.to_string()),
-            Err(_) => {
-                return self.refusal(problem::Kind::DeadlineExceeded, "no body in time".into());
-            }
-        };
-        let id = head.id;
-        let (caller, receiver) = self.arrive(shared, head, kept, deadline);
-        let hangup = Hangup {
-            runtime: sync::Arc::clone(self),
-            shared: sync::Arc::clone(shared),
-            id,
-            caller,
-        };
-        let answered = receiver.await;
-        drop(hangup);
-        match answered {
-            Ok(answer) => answer,
-            Err(_) => {
-                let detail = format!("the lane of {} ended", self.target);
-                let problem = problem::Problem::unknown(problem::Kind::Internal, detail);
-                answer::Answer::refusal(problem, head::Load::default())
-            }
-        }
-    }
-
-    fn refusal(&self, kind: problem::Kind, detail: String) -> answer::Answer {
-        let problem = problem::Problem::not_run(kind, detail);
-        answer::Answer::refusal(problem, head::Load::default())
-    }
-
-    fn arrive(
-        self: &sync::Arc<Self>,
-        shared: &sync::Arc<shared::Shared>,
-        head: head::Request,
-        kept: body::Kept,
-        deadline: time::Instant,
-    ) -> (request::Caller, oneshot::Receiver<answer::Answer>) {
-        let (sender, receiver) = oneshot::channel();
-        let now = shared.now();
-        let left = deadline.saturating_duration_since(time::Instant::now());
-        let mut state = self.lock();
-        let caller = request::Caller(state.next_caller);
-        state.next_caller += 1;
-        let arrival = self.arrival(&head, &kept, caller, now + left);
-        let id = head.id;
-        state.callers.insert(caller, Waiting { id, sender });
-        let mut spare = Some(kept);
-        let work = state.requests.entry(id).or_insert_with(|| Work {
-            head: sync::Arc::new(head),
-            body: spare.take().unwrap_or(body::Kept::Sent),
-            running: None,
-            answer: None,
-            awaited: 0,
-        });
-        work.awaited += 1;
-        if let (false, Some(kept)) = (work.body.can_be_sent(), spare) {
-            work.body = kept;
-        }
-        let outputs = state.lane.step(lane::Input::Arrive(arrival), now);
-        self.perform(shared, &mut state, outputs);
-        (caller, receiver)
-    }
-
-    fn arrival(
-        &self,
-        head: &head::Request,
-        kept: &body::Kept,
-        caller: request::Caller,
-        deadline: Duration,
-    ) -> request::Arrival {
-        let shard = self.shards.zip(head.key.as_ref());
-        request::Arrival {
-            id: head.id,
-            caller,
-            fingerprint: fingerprint(head, kept),
-            class: head.class,
-            idempotent: head.idempotent,
-            shard: shard.map(|(shards, key)| key::shard(key, shards)),
-            key: head.key.clone(),
-            bytes: held_bytes(head, kept),
-            deadline,
-            resent: head.resent,
-        }
-    }
-
-    /// Forgets a caller that hung up; tells whether it was still waiting.
-    fn forget(&self, caller: request::Caller) -> bool {
-        let mut state = self.lock();
-        let Some(waiting) = state.callers.swap_remove(&caller) else {
-            return false;
-        };
-        if let Some(work) = state.requests.get_mut(&waiting.id) {
-            work.awaited -= 1;
-        }
-        true
-    }
-
     /// Tells the lane what happened and carries out what it decides.
     pub fn step(self: &sync::Arc<Self>, shared: &sync::Arc<shared::Shared>, input: lane::Input) {
         let mut state = self.lock();
@@ -412,131 +285,6 @@
             state.requests.swap_remove_index(at);
         }
     }
-
-    fn perform(
-        self: &sync::Arc<Self>,
-        shared: &sync::Arc<shared::Shared>,
-        state: &mut State,
-        outputs: Vec<lane::Output>,
-    ) {
-        let load = state.lane.load(shared.now());
-        for output in outputs {
-            match output {
-                lane::Output::Send {
-                    id,
-                    attempt,
-                    deadline,
-                    ..
-                } => self.send(shared, state, id, attempt, deadline),
-                lane::Output::Abort { id } => abort(state, id),
-                lane::Output::Refuse {
-                    id,
-                    caller,
-                    problem,
-                } => {
-                    self.answer(state, id, caller, answer::Answer::refusal(problem, load));
-                }
-                lane::Output::Deliver { id, caller } => self.deliver(state, id, caller, load),
-                lane::Output::Replay { id, caller, kept } => {
-                    let answer = match state.kept.get(id) {
-                        Some(received) => received.into_answer(load),
-                        None => answer::Answer::refusal(replayed(id, kept), load),
-                    };
-                    self.answer(state, id, caller, answer);
-                }
-                lane::Output::Forward { id, caller, to } => {
-                    let detail = format!("the request goes on to {to:?}");
-                    let problem = problem::Problem::not_run(problem::Kind::NoOwner, detail);
-                    self.answer(state, id, caller, answer::Answer::refusal(problem, load));
-                }
-                lane::Output::Released { release, .. } => {
-                    grants::revoke(shared, self, release);
-                }
-                other => self.tell(shared, other),
-            }
-        }
-    }
-
-    /// Carries out what concerns other hosts and the target's connections.
-    fn tell(self: &sync::Arc<Self>, shared: &sync::Arc<shared::Shared>, output: lane::Output) {
-        let runtime = sync::Arc::clone(self);
-        let shared = sync::Arc::clone(shared);
-        tokio::spawn(async move {
-            match output {
-                lane::Output::Dial => attempt::dial(&shared, &runtime).await,
-                other => message::carry(&shared, &runtime, other).await,
-            }
-        });
-    }
-
-    fn send(
-        self: &sync::Arc<Self>,
-        shared: &sync::Arc<shared::Shared>,
-        state: &mut State,
-        id: id::Request,
-        attempt: u32,
-        deadline: Duration,
-    ) {
-        let Some(work) = state.requests.get_mut(&id) else {
-            return;
-        };
-        let sending = attempt::Sending {
-            id,
-            attempt,
-            head: sync::Arc::clone(&work.head),
-            deadline: shared.instant(deadline),
-            grant: self.token,
-        };
-        let task = attempt::run(sync::Arc::clone(shared), sync::Arc::clone(self), sending);
-        work.running = Some(tokio::spawn(task).abort_handle());
-    }
-
-    fn deliver(
-        &self,
-        state: &mut State,
-        id: id::Request,
-        caller: request::Caller,
-        load: head::Load,
-    ) {
-        let received = state
-            .requests
-            .get_mut(&id)
-            .and_then(|work| match &mut work.answer {
-                Some(received) => received.share(),
-                None => None,
-            });
-        let answer = match received {
-            Some(received) => received.into_answer(load),
-            None => {
-                let detail = format!("the answer of request {id} went to its first caller");
-                let problem = problem::Problem {
-                    outcome: problem::Outcome::Ran,
-                    ..problem::Problem::not_run(problem::Kind::AlreadyAccepted, detail)
-                };
-                answer::Answer::refusal(problem, load)
-            }
-        };
-        self.answer(state, id, caller, answer);
-    }
-
-    fn answer(
-        &self,
-        state: &mut State,
-        id: id::Request,
-        caller: request::Caller,
-        answer: answer::Answer,
-    ) {
-        if let Some(waiting) = state.callers.swap_remove(&caller) {
-            // The caller may have hung up in this very moment; then nobody wants the answer.
-            let _ = waiting.sender.send(answer);
-            if let Some(work) = state.requests.get_mut(&id) {
-                work.awaited -= 1;
-            }
-        }
-        if let Some(at) = state.requests.get_index_of(&id) {
-            self.sweep(state, at);
-        }
-    }
 }
 
 /// Leaves only the keys that took the most slot time.
@@ -562,44 +310,3 @@
         state.kept.keep(id, received);
     }
 }
-
-fn abort(state: &mut State, id: id::Request) {
-    let work = state.requests.get_mut(&id);
-    if let Some(running) = work.and_then(|work| work.running.as_ref()) {
-        running.abort();
-    }
-}
-
-fn replayed(id: id::Request, kept: request::Kept) -> problem::Problem {
-    match kept {
-        request::Kept::Answered(status) => problem::Problem {
-            outcome: problem::Outcome::Ran,
-            ..problem::Problem::not_run(
-                problem::Kind::AlreadyAccepted,
-                format!("request {id} ran and was answered with {status}"),
-            )
-        },
-        request::Kept::Unknown => problem::Problem::unknown(
-            problem::Kind::AlreadyAccepted,
-            format!("request {id} was sent before and its answer was lost"),
-        ),
-    }
-}
-
-fn fingerprint(head: &head::Request, kept: &body::Kept) -> u64 {
-    let mut hasher = xxh3::Xxh3::new();
-    hasher.update(head.method.as_bytes());
-    hasher.update(&[0]);
-    hasher.update(head.uri.as_bytes());
-    hasher.update(&kept.length().unwrap_or(u64::MAX).to_le_bytes());
-    hasher.update(kept.bytes());
-    hasher.digest()
-}
-
-fn held_bytes(head: &head::Request, kept: &body::Kept) -> u64 {
-    let fields = head.headers.iter();
-    let head_bytes: usize = fields
-        .map(|field| field.name.len() + field.value.len())
-        .sum();
-    (head_bytes + head.uri.len() + kept.bytes().len()) as u64
-}
--- /dev/null
+++ b/crates/yucca-entry/src/process/lanes/runtime/arrive.rs
@@ -0,0 +1,166 @@
+//! How a request comes to the lane and waits for its answer.
+
+use std::sync;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tokio::time;
+use xxhash_rust::xxh3;
+use yucca_lane::lane;
+use yucca_lane::request;
+use yucca_wire::head;
+use yucca_wire::id;
+use yucca_wire::key;
+use yucca_wire::problem;
+
+use super::{Runtime, Waiting, Work};
+use crate::process::shared;
+use crate::request::answer;
+use crate::request::body;
+
+/// Tells the lane that a caller hung up, unless it was answered.
+struct Hangup {
+    runtime: sync::Arc<Runtime>,
+    shared: sync::Arc<shared::Shared>,
+    id: id::Request,
+    caller: request::Caller,
+}
+
+impl Drop for Hangup {
+    fn drop(&mut self) {
+        if self.runtime.forget(self.caller) {
+            let input = lane::Input::Cancel {
+                id: self.id,
+                caller: self.caller,
+            };
+            self.runtime.step(&self.shared, input);
+        }
+    }
+}
+
+impl Runtime {
+    /// Takes a request through the lane.
+    pub async fn run(
+        self: &sync::Arc<Self>,
+        shared: &sync::Arc<shared::Shared>,
+        head: head::Request,
+        stream: body::Stream,
+        deadline: time::Instant,
+    ) -> answer::Answer {
+        let kept = match time::timeout_at(deadline, body::Kept::read(stream)).await {
+            Ok(Ok(kept)) => kept,
+            Ok(Err(error)) => return self.refusal(problem::Kind::BadRequest, error.to_string()),
+            Err(_) => {
+                return self.refusal(problem::Kind::DeadlineExceeded, "no body in time".into());
+            }
+        };
+        let id = head.id;
+        let (caller, receiver) = self.arrive(shared, head, kept, deadline);
+        let hangup = Hangup {
+            runtime: sync::Arc::clone(self),
+            shared: sync::Arc::clone(shared),
+            id,
+            caller,
+        };
+        let answered = receiver.await;
+        drop(hangup);
+        match answered {
+            Ok(answer) => answer,
+            Err(_) => {
+                let detail = format!("the lane of {} ended", self.target);
+                let problem = problem::Problem::unknown(problem::Kind::Internal, detail);
+                answer::Answer::refusal(problem, head::Load::default())
+            }
+        }
+    }
+
+    fn refusal(&self, kind: problem::Kind, detail: String) -> answer::Answer {
+        let problem = problem::Problem::not_run(kind, detail);
+        answer::Answer::refusal(problem, head::Load::default())
+    }
+
+    fn arrive(
+        self: &sync::Arc<Self>,
+        shared: &sync::Arc<shared::Shared>,
+        head: head::Request,
+        kept: body::Kept,
+        deadline: time::Instant,
+    ) -> (request::Caller, oneshot::Receiver<answer::Answer>) {
+        let (sender, receiver) = oneshot::channel();
+        let now = shared.now();
+        let left = deadline.saturating_duration_since(time::Instant::now());
+        let mut state = self.lock();
+        let caller = request::Caller(state.next_caller);
+        state.next_caller += 1;
+        let arrival = self.arrival(&head, &kept, caller, now + left);
+        let id = head.id;
+        state.callers.insert(caller, Waiting { id, sender });
+        let mut spare = Some(kept);
+        let work = state.requests.entry(id).or_insert_with(|| Work {
+            head: sync::Arc::new(head),
+            body: spare.take().unwrap_or(body::Kept::Sent),
+            running: None,
+            answer: None,
+            awaited: 0,
+        });
+        work.awaited += 1;
+        if let (false, Some(kept)) = (work.body.can_be_sent(), spare) {
+            work.body = kept;
+        }
+        let outputs = state.lane.step(lane::Input::Arrive(arrival), now);
+        self.perform(shared, &mut state, outputs);
+        (caller, receiver)
+    }
+
+    fn arrival(
+        &self,
+        head: &head::Request,
+        kept: &body::Kept,
+        caller: request::Caller,
+        deadline: Duration,
+    ) -> request::Arrival {
+        let shard = self.shards.zip(head.key.as_ref());
+        request::Arrival {
+            id: head.id,
+            caller,
+            fingerprint: fingerprint(head, kept),
+            class: head.class,
+            idempotent: head.idempotent,
+            shard: shard.map(|(shards, key)| key::shard(key, shards)),
+            key: head.key.clone(),
+            bytes: held_bytes(head, kept),
+            deadline,
+            resent: head.resent,
+        }
+    }
+
+    /// Forgets a caller that hung up; tells whether it was still waiting.
+    fn forget(&self, caller: request::Caller) -> bool {
+        let mut state = self.lock();
+        let Some(waiting) = state.callers.swap_remove(&caller) else {
+            return false;
+        };
+        if let Some(work) = state.requests.get_mut(&waiting.id) {
+            work.awaited -= 1;
+        }
+        true
+    }
+}
+
+fn fingerprint(head: &head::Request, kept: &body::Kept) -> u64 {
+    let mut hasher = xxh3::Xxh3::new();
+    hasher.update(head.method.as_bytes());
+    hasher.update(&[0]);
+    hasher.update(head.uri.as_bytes());
+    hasher.update(&kept.length().unwrap_or(u64::MAX).to_le_bytes());
+    hasher.update(kept.bytes());
+    hasher.digest()
+}
+
+fn held_bytes(head: &head::Request, kept: &body::Kept) -> u64 {
+    let fields = head.headers.iter();
+    let head_bytes: usize = fields
+        .map(|field| field.name.len() + field.value.len())
+        .sum();
+    (head_bytes + head.uri.len() + kept.bytes().len()) as u64
+}
--- a/crates/yucca-entry/src/process/peer.rs
+++ b/crates/yucca-entry/src/process/peer.rs
@@ -17,7 +17,7 @@
 use crate::process::shared;
 use crate::request::answer;
 use crate::request::body;
-use crate::request::forward;
+use crate::request::hop;
 
 /// Answers one request on the peer listener.
 pub async fn serve(
@@ -33,7 +33,7 @@
     let path = request.uri().path().to_owned();
     let stream = body::unlimited(request.into_body());
     match path.as_str() {
-        forward::LANE_PATH => lane_request(&shared, stream).await,
+        hop::LANE_PATH => lane_request(&shared, stream).await,
         message::PATH => lane_message(&shared, stream).await,
         _ => status(http::StatusCode::NOT_FOUND),
     }
@@ -60,7 +60,7 @@
     };
     let deadline = time::Instant::now() + Duration::from_micros(head.remaining_us);
     let answer = match relay_address(shared, &head) {
-        Some(address) => forward::relay(shared, address, head, rest, deadline).await,
+        Some(address) => hop::relay(shared, address, head, rest, deadline).await,
         None => lanes::run(shared, head, rest, deadline).await,
     };
     match framed::write(shared.deployment, &answer.head, answer.body) {
--- a/crates/yucca-entry/src/process/running.rs
+++ b/crates/yucca-entry/src/process/running.rs
@@ -26,6 +26,17 @@
 /// The longest that a client may take to send a head.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// How often recorded durations are folded together; without it they pile up between scrapes.
+const UPKEEP_INTERVAL: Duration = Duration::from_secs(5);
+
+async fn upkeep(recorder: PrometheusHandle) {
+    let mut interval = time::interval(UPKEEP_INTERVAL);
+    loop {
+        interval.tick().await;
+        recorder.run_upkeep();
+    }
+}
+
 /// Why an entry process could not start.
 #[derive(Debug)]
 pub enum Error {
@@ -175,6 +186,9 @@
             shared::Phase::Stopped,
             listen::with(&shared, announce::serve),
         ));
+        if let Some(recorder) = recorder.clone() {
+            tasks.spawn(upkeep(recorder));
+        }
         let probed = sync::Arc::clone(&shared);
         tasks.spawn(listen::serve(
             bound.balancer,
--- a/crates/yucca-entry/src/process/shared.rs
+++ b/crates/yucca-entry/src/process/shared.rs
@@ -1,7 +1,8 @@
 //! What all tasks of the process share.
 //!
-//! Lock order: the registry of lanes, then one lane's state, then leaves (loads, idle and peer
-//! connections, announcements). No lock is held over an await.
+//! Lock order: the registry of lanes, then the ledgers kept as a standby, then one lane's state, then
+//! leaves (loads, leases, grants, idle and peer connections, announcements). No lock is held over
+//! an await.
 
 use std::sync;
 use std::time::Duration;
@@ -62,7 +63,7 @@
         Self {
             deployment: codec::Deployment::new(&settings.deployment),
             current: current::Current::default(),
-            peers: peers::Peers::new(settings.peer_secret.clone()).from_local(settings.local),
+            peers: peers::Peers::new(&settings.peer_secret).from_local(settings.local),
             loads: choose::Loads::default(),
             lanes: lanes::Lanes::default(),
             announced: announce::Announced::default(),
--- a/crates/yucca-entry/src/request/forward.rs
+++ b/crates/yucca-entry/src/request/forward.rs
@@ -13,8 +13,6 @@
 use yucca_wire::problem;
 use yucca_wire::table;
 
-use crate::connection::framed;
-use crate::connection::peers;
 use crate::process::lanes;
 use crate::process::lanes::message;
 use crate::process::shared;
@@ -22,19 +20,14 @@
 use crate::request::body;
 use crate::request::choose;
 use crate::request::fields;
+use crate::request::hop;
 use crate::request::parse;
 use crate::version::view;
 
-/// The path on which a host hears requests for its lanes.
-pub const LANE_PATH: &str = "/lane/request";
-
 /// How long to wait before a lane that could not be reached is tried again, if no new version
 /// comes first.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// The longest a request may wait for one answer of a peer beyond its deadline: the trip back.
-const ANSWER_SLACK: Duration = Duration::from_millis(20);
-
 /// How many targets behind the first in rank are asked whether they know an id: as many may have
 /// joined within the time for which ids are remembered.
 const FORMER_HOLDERS: usize = 1;
@@ -133,7 +126,7 @@
             };
             drop(view);
             match self.attempt(&place, &mut kept).await {
-                Try::Done(answer) => return answer,
+                Try::Done(answer) => return self.honest(answer),
                 Try::NotSent(problem) => {
                     last = problem;
                     if !self.resent {
@@ -155,6 +148,18 @@
         refuse(self.give_up(last))
     }
 
+    /// Corrects a lane that did not run the request, where an earlier one may have.
+    fn honest(&self, answer: answer::Answer) -> answer::Answer {
+        match &answer.head.verdict {
+            head::Verdict::Refused(problem)
+                if self.resent && problem.outcome == problem::Outcome::NotRun =>
+            {
+                refuse(self.give_up(problem.clone()))
+            }
+            _ => answer,
+        }
+    }
+
     fn give_up(&self, last: problem::Problem) -> problem::Problem {
         if self.resent {
             let detail = format!("request {}: {}", self.request.id, last.detail);
@@ -336,11 +341,11 @@
         };
         match self.exchange(address, head, kept).await {
             Ok(answer) => sort(answer),
-            Err(Failure::NotSent(detail)) => {
+            Err(hop::Failure::NotSent(detail)) => {
                 let problem = problem::Problem::not_run(problem::Kind::Unreachable, detail);
                 self.relay(place, head, kept, problem).await
             }
-            Err(Failure::Unsure(detail)) => {
+            Err(hop::Failure::Unsure(detail)) => {
                 Try::Unsure(problem::Problem::unknown(problem::Kind::TargetLost, detail))
             }
         }
@@ -363,8 +368,8 @@
         metrics::counter!("yucca_relayed_total").increment(1);
         match self.exchange(address, head, kept).await {
             Ok(answer) => sort(answer),
-            Err(Failure::NotSent(_)) => Try::NotSent(problem),
-            Err(Failure::Unsure(detail)) => {
+            Err(hop::Failure::NotSent(_)) => Try::NotSent(problem),
+            Err(hop::Failure::Unsure(detail)) => {
                 Try::Unsure(problem::Problem::unknown(problem::Kind::TargetLost, detail))
             }
         }
@@ -385,69 +390,14 @@
         address: net::SocketAddr,
         head: &head::Request,
         kept: &mut body::Kept,
-    ) -> Result<answer::Answer, Failure> {
+    ) -> Result<answer::Answer, hop::Failure> {
         let Some(stream) = kept.take() else {
-            return Err(Failure::Unsure(sent_once().detail));
+            return Err(hop::Failure::Unsure(sent_once().detail));
         };
-        exchange(self.shared, address, head, stream, self.deadline).await
+        hop::exchange(self.shared, address, head, stream, self.deadline).await
     }
 }
 
-async fn exchange(
-    shared: &shared::Shared,
-    address: net::SocketAddr,
-    head: &head::Request,
-    stream: body::Stream,
-    deadline: time::Instant,
-) -> Result<answer::Answer, Failure> {
-    let message = framed::write(shared.deployment, head, stream)
-        .map_err(|error| Failure::NotSent(error.to_string()))?;
-    let exchange = async {
-        let response = shared.peers.post(address, LANE_PATH, message).await?;
-        Ok::<_, peers::Error>(framed::read(shared.deployment, response.into_body()).await)
-    };
-    match time::timeout_at(deadline + ANSWER_SLACK, exchange).await {
-        Ok(Ok(Ok((head, body)))) => Ok(answer::Answer { head, body }),
-        Ok(Ok(Err(error))) => Err(Failure::Unsure(error.to_string())),
-        Ok(Err(error)) if error.not_sent() => Err(Failure::NotSent(error.to_string())),
-        Ok(Err(error)) => Err(Failure::Unsure(error.to_string())),
-        Err(_) => {
-            let detail = format!("peer {address} did not answer in time");
-            Err(Failure::Unsure(detail))
-        }
-    }
-}
-
-/// Passes a request of a host that cannot reach the lane's host on to it.
-pub async fn relay(
-    shared: &shared::Shared,
-    address: net::SocketAddr,
-    head: head::Request,
-    stream: body::Stream,
-    deadline: time::Instant,
-) -> answer::Answer {
-    let marked = head::Request {
-        relayed: true,
-        ..head
-    };
-    match exchange(shared, address, &marked, stream, deadline).await {
-        Ok(answer) => answer,
-        Err(Failure::NotSent(detail)) => refuse(problem::Problem::not_run(
-            problem::Kind::Unreachable,
-            detail,
-        )),
-        Err(Failure::Unsure(detail)) => {
-            refuse(problem::Problem::unknown(problem::Kind::TargetLost, detail))
-        }
-    }
-}
-
-/// Why an exchange with a peer brought no answer.
-enum Failure {
-    NotSent(String),
-    Unsure(String),
-}
-
 fn sent_once() -> problem::Problem {
     let detail = "the body is too long to be sent again";
     problem::Problem::unknown(problem::Kind::TargetLost, detail)
--- a/crates/yucca-entry/src/request/measure.rs
+++ b/crates/yucca-entry/src/request/measure.rs
@@ -1,5 +1,6 @@
 //! Counts what became of callers' requests, by service and class, for the report on burn.
 
+use std::fmt;
 use std::time::Duration;
 
 use yucca_wire::head;
@@ -31,39 +32,61 @@
     }
 }
 
-/// Counts an answered request. `objective` is the latency that its class promises.
-pub fn count(
-    service: &id::Service,
-    class: table::Class,
-    verdict: &head::Verdict,
-    took: Duration,
+/// The counters of one service and class.
+pub struct Counters {
+    service: String,
+    class: &'static str,
     objective: Option<Duration>,
-) {
-    let class = match class {
-        table::Class::Short => "short",
-        table::Class::Long => "long",
-    };
-    let failed = match verdict {
-        head::Verdict::Answered { .. } => None,
-        head::Verdict::Refused(problem) => match cause(problem.kind) {
-            Some(cause) => Some(cause),
-            None => return,
-        },
-    };
-    let service = service.to_string();
-    metrics::counter!("yucca_requests_total", "service" => service.clone(), "class" => class)
-        .increment(1);
-    metrics::histogram!("yucca_request_seconds", "service" => service.clone(), "class" => class)
-        .record(took.as_secs_f64());
-    match failed {
-        Some(cause) => {
-            metrics::counter!("yucca_requests_failed_total", "service" => service, "class" => class, "cause" => cause)
-                .increment(1);
+    requests: metrics::Counter,
+    slow: metrics::Counter,
+    seconds: metrics::Histogram,
+}
+
+impl fmt::Debug for Counters {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "Counters({}/{})", self.service, self.class)
+    }
+}
+
+impl Counters {
+    /// Returns the counters of a service's class.
+    pub fn new(service: &id::Service, stated: &table::Service, class: table::Class) -> Self {
+        let name = match class {
+            table::Class::Short => "short",
+            table::Class::Long => "long",
+        };
+        let labels = [
+            ("service", service.to_string()),
+            ("class", name.to_string()),
+        ];
+        Self {
+            service: service.to_string(),
+            class: name,
+            objective: stated.objectives.get(&class).map(|stated| stated.latency.0),
+            requests: metrics::counter!("yucca_requests_total", &labels),
+            slow: metrics::counter!("yucca_requests_slow_total", &labels),
+            seconds: metrics::histogram!("yucca_request_seconds", &labels),
         }
-        None if objective.is_some_and(|objective| took > objective) => {
-            metrics::counter!("yucca_requests_slow_total", "service" => service, "class" => class)
-                .increment(1);
+    }
+
+    /// Counts an answered request.
+    pub fn count(&self, verdict: &head::Verdict, took: Duration) {
+        let failed = match verdict {
+            head::Verdict::Answered { .. } => None,
+            head::Verdict::Refused(problem) => match cause(problem.kind) {
+                Some(cause) => Some(cause),
+                None => return,
+            },
+        };
+        self.requests.increment(1);
+        self.seconds.record(took.as_secs_f64());
+        match failed {
+            Some(cause) => metrics::counter!("yucca_requests_failed_total", "service" => self.service.clone(), "class" => self.class, "cause" => cause)
+                .increment(1),
+            None if self.objective.is_some_and(|objective| took > objective) => {
+                self.slow.increment(1);
+            }
+            None => {}
         }
-        None => {}
     }
 }
--- a/crates/yucca-entry/src/version/view.rs
+++ b/crates/yucca-entry/src/version/view.rs
@@ -1,14 +1,26 @@
 //! One version of the routing table, with what is derived from it for fast lookup.
 
+use std::sync;
+
+use indexmap::IndexMap;
 use yucca_wire::id;
 use yucca_wire::table;
 
+use crate::request::measure;
+
 /// One version of the routing table.
 #[derive(Debug, Default)]
 pub struct View {
     /// The table.
     pub table: table::Table,
     prefixes: Vec<Prefix>,
+    counters: IndexMap<id::Service, Classes>,
+}
+
+#[derive(Debug)]
+struct Classes {
+    short: sync::Arc<measure::Counters>,
+    long: sync::Arc<measure::Counters>,
 }
 
 #[derive(Debug)]
@@ -31,7 +43,14 @@
     /// Derives the view of a table.
     pub fn new(table: table::Table) -> Self {
         let mut prefixes: Vec<Prefix> = Vec::new();
+        let mut counters = IndexMap::new();
         for (name, service) in &table.global.services {
+            let count = |class| sync::Arc::new(measure::Counters::new(name, service, class));
+            let classes = Classes {
+                short: count(table::Class::Short),
+                long: count(table::Class::Long),
+            };
+            counters.insert(name.clone(), classes);
             prefixes.push(Prefix {
                 path: service.prefix.trim_end_matches('/').to_owned(),
                 service: name.clone(),
@@ -39,7 +58,11 @@
         }
         // Longest first, so that the most specific prefix wins.
         prefixes.sort_by(|a, b| b.path.len().cmp(&a.path.len()).then(a.path.cmp(&b.path)));
-        Self { table, prefixes }
+        Self {
+            table,
+            prefixes,
+            counters,
+        }
     }
 
     /// Finds the service with the longest prefix of `path`.
@@ -61,6 +84,20 @@
         None
     }
 
+    /// Returns the counters of a service's class.
+    pub fn counters(
+        &self,
+        service: &id::Service,
+        class: table::Class,
+    ) -> Option<sync::Arc<measure::Counters>> {
+        let classes = self.counters.get(service)?;
+        let counters = match class {
+            table::Class::Short => &classes.short,
+            table::Class::Long => &classes.long,
+        };
+        Some(sync::Arc::clone(counters))
+    }
+
     /// Returns a target with its domain.
     pub fn target(&self, name: &id::Target) -> Option<(&id::Domain, &table::Target)> {
         let mut locals = self.table.locals.values();
