Entry: a shard whose grant the target has not taken comes free

A shard that began to move while its grant was on its way to the target was never released: the lane was told to hold what it did not know, so it had nothing to give back. Ruled out: a lost wake-up of the worker; the revocation that a dead target cannot hear. Change: a grant is marked as taken once the target confirms it; one that moves before that is revoked at once, and a confirmation that comes late is passed over. Conclusion: each moving shard comes free, whatever the target heard.

--- a/crates/yucca-entry/src/process/lanes.rs
+++ b/crates/yucca-entry/src/process/lanes.rs
@@ -16,12 +16,12 @@
 use crate::request::body;
 
 mod attempt;
-mod grants;
+pub mod grants;
 mod kept;
 mod leases;
 pub mod message;
 mod reconcile;
-mod runtime;
+pub mod runtime;
 pub mod standbys;
 
 pub use reconcile::reconcile;
--- a/crates/yucca-entry/src/process/lanes/grants.rs
+++ b/crates/yucca-entry/src/process/lanes/grants.rs
@@ -55,6 +55,14 @@
 struct Line {
     token: id::Token,
     moving: bool,
+    // The target took the grant, and the lane was told.
+    confirmed: bool,
+}
+
+impl Line {
+    fn is(&self, owner: &table::Owner) -> bool {
+        self.token == owner.token && self.moving == owner.moving
+    }
 }
 
 /// A change that the target has not confirmed.
@@ -123,6 +131,16 @@
         changes
     }
 
+    /// Returns the order that is due.
+    pub fn due(&self, token: id::Token) -> grant::Order {
+        order(token, &self.lock().pending)
+    }
+
+    /// Marks a grant as taken by the target; tells whether it still stands.
+    pub fn confirm(&self, scope: &owners::Scope, token: id::Token) -> bool {
+        self.lock().confirm(scope, token)
+    }
+
     fn take_pending(&self) -> Vec<Change> {
         mem::take(&mut self.lock().pending)
     }
@@ -134,7 +152,7 @@
             Change::Grant { scope, token, .. } => told
                 .scopes
                 .get(scope)
-                .is_some_and(|line| line.token == *token),
+                .is_some_and(|line| line.token == *token && !line.moving),
             Change::Revoke { scope, .. } => told.scopes.contains_key(scope),
         };
         let mut kept: Vec<Change> = changes.into_iter().filter(still_wanted).collect();
@@ -146,28 +164,24 @@
 
 impl Told {
     fn take_in(&mut self, scope: &owners::Scope, wanted: &Wanted) -> Option<lane::Change> {
+        let owner = &wanted.owner;
+        let known = self.scopes.get(scope).copied();
+        if known.is_some_and(|known| known.is(owner)) {
+            return None;
+        }
+        let known = known.filter(|known| known.token == owner.token);
         let line = Line {
-            token: wanted.owner.token,
-            moving: wanted.owner.moving,
+            token: owner.token,
+            moving: owner.moving,
+            confirmed: known.is_some_and(|known| known.confirmed),
         };
-        let known = self.scopes.insert(scope.clone(), line);
+        self.scopes.insert(scope.clone(), line);
         let scope = scope.clone();
-        match known {
-            Some(known) if known == line => None,
-            Some(known) if known.token == line.token && line.moving => {
-                Some(lane::Change::Hold { scope })
-            }
-            Some(known) if known.token == line.token => {
-                // The move was given up; if the target gave the grant back, it gets it again.
-                if self.released.swap_remove(&scope).is_some() {
-                    self.grant(scope, wanted);
-                    return None;
-                }
-                Some(lane::Change::Resume { scope })
-            }
-            _ if line.moving => {
-                // Moving before this lane knew it: the target has no grant from this lane.
-                let release = release(&scope, line.token);
+        match (owner.moving, line.confirmed) {
+            (true, true) => Some(lane::Change::Hold { scope }),
+            (true, false) => {
+                // The lane never sent anything under this grant. The target may have taken it.
+                let release = release(&scope, owner.token);
                 self.pending.push(Change::Revoke {
                     scope,
                     release,
@@ -175,14 +189,32 @@
                 });
                 None
             }
-            _ => {
+            (false, true) if !self.released.contains_key(&scope) => {
+                Some(lane::Change::Resume { scope })
+            }
+            (false, _) => {
+                // New, or given back by the target before the move was given up.
                 self.released.swap_remove(&scope);
+                if let Some(line) = self.scopes.get_mut(&scope) {
+                    line.confirmed = false;
+                }
                 self.grant(scope, wanted);
                 None
             }
         }
     }
 
+    fn is_moving(&self, scope: &owners::Scope) -> bool {
+        self.scopes.get(scope).is_some_and(|line| line.moving)
+    }
+
+    /// Marks a grant as taken by the target; tells whether it still stands.
+    fn confirm(&mut self, scope: &owners::Scope, token: id::Token) -> bool {
+        let line = self.scopes.get_mut(scope);
+        let standing = line.filter(|line| line.token == token && !line.moving);
+        standing.map(|line| line.confirmed = true).is_some()
+    }
+
     fn grant(&mut self, scope: owners::Scope, wanted: &Wanted) {
         self.pending.push(Change::Grant {
             scope,
@@ -357,12 +389,20 @@
                     Some(earlier) => message::ledger(shared, &earlier, scope.shard()).await,
                     None => ledger::Snapshot::default(),
                 };
+                if !runtime.grants.confirm(&scope, token) {
+                    continue;
+                }
                 let change = lane::Change::Grant {
-                    scope,
+                    scope: scope.clone(),
                     token,
                     ledger,
                 };
                 runtime.step(shared, lane::Input::Owners(change));
+                // A version that came in between told the lane to hold what it did not know yet.
+                if runtime.grants.lock().is_moving(&scope) {
+                    let change = lane::Change::Hold { scope };
+                    runtime.step(shared, lane::Input::Owners(change));
+                }
             }
             Change::Revoke { scope, release, .. } => {
                 let mut told = runtime.grants.lock();
