--- a/crates/yucca-dev/src/lib.rs
+++ b/crates/yucca-dev/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod journal;
 pub mod load;
 pub mod route;
+pub mod slope;
 pub mod target;
 pub mod work;
