Control: a leader plans at once when requests wait for it

Cause: a shard's release waited up to 100 ms for the next look of the domain's leader, and each request for the shard waited with it. Change: a report with a release, a lane that ended, or a target or host that leaves wakes the planning.

--- a/crates/yucca-control/src/process/core.rs
+++ b/crates/yucca-control/src/process/core.rs
@@ -43,6 +43,8 @@
     pub ready: ready::Ready,
     /// Carries the messages of the logs.
     pub courier: sync::Arc<courier::Courier>,
+    /// Wakes the planning for domains before its interval ends.
+    pub urgent: tokio::sync::Notify,
     random: sync::Mutex<rngs::StdRng>,
     told_leader: ArcSwapOption<id::Host>,
     seats: sync::RwLock<Seats>,
@@ -81,6 +83,7 @@
             guard: guard::Guard::default(),
             ready: ready::Ready::default(),
             courier: sync::Arc::new(courier),
+            urgent: tokio::sync::Notify::new(),
             random: sync::Mutex::new(random),
             told_leader: ArcSwapOption::empty(),
             seats: sync::RwLock::default(),
--- a/crates/yucca-control/src/process/lead.rs
+++ b/crates/yucca-control/src/process/lead.rs
@@ -73,7 +73,10 @@
     let mut ticks = tokio::time::interval(core.settings.timing.plan.0);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
-        ticks.tick().await;
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = core.urgent.notified() => {}
+        }
         for seat in core.domains() {
             let standing = seat.replica.standing();
             if !standing.leads {
--- a/crates/yucca-control/src/request/serve.rs
+++ b/crates/yucca-control/src/request/serve.rs
@@ -4,7 +4,7 @@
 
 use serde_json::json;
 use yucca_own::{global, lease};
-use yucca_wire::id;
+use yucca_wire::{announce, id, report};
 
 use crate::message::{self, Answered, Heard, Log, Proposed};
 use crate::process::core;
@@ -65,6 +65,9 @@
         lock(&seat.evidence).hear(&hear.report, now);
         let seen = seat::Host::new(&hear.report, now);
         lock(&seat.hosts).insert(hear.report.host.clone(), seen);
+        if is_urgent(&hear.report) {
+            self.urgent.notify_one();
+        }
         if !seat.confirmation.wait(now).await {
             return Heard::NotLeader(None);
         }
@@ -171,3 +174,16 @@
         _ => None,
     }
 }
+
+/// Tells whether requests wait for what the domain's leader makes of a report: a move that can go
+/// on, a lane that has ended, a target or host that leaves.
+fn is_urgent(report: &report::Report) -> bool {
+    let mut lanes = report.lanes.values();
+    let mut announced = report.announced.iter();
+    let leaves = |target: &announce::Announce| {
+        !matches!(target.state, None | Some(announce::State::Serving))
+    };
+    report.stopping
+        || lanes.any(|lane| lane.left || !lane.released.is_empty())
+        || announced.any(leaves)
+}
