--- a/crates/yucca-entry/src/request/choose.rs
+++ b/crates/yucca-entry/src/request/choose.rs
@@ -1,7 +1,8 @@
 //! Chooses the target of a request to a pool service.
 //!
 //! Two targets are drawn at random and the less loaded one is taken, among those of this host's
-//! domain and among those of others; the local one is kept unless the other is lighter by a slot.
+//! domain and among those of others. The local one is kept unless the other is lighter by one
+//! request, or the domain has more than its share of callers.
 //!
 //! Work that runs once only and whose id the caller chose goes to the target that [`rank`] puts
 //! first, at whatever host it enters, so that the same id meets the same ledger.
@@ -88,6 +89,9 @@
     let near = lighter(loads, &local, rng);
     let remote = candidates(table, service, tried, |domain| domain != here);
     let far = lighter(loads, &remote, rng);
+    if far.is_some() && rng.random::<f64>() >= keep_share(table, here, &local, &remote) {
+        return far.map(|(name, _, _)| name.clone());
+    }
     let best = match (near, far) {
         (Some(near), Some(far)) if far.1 + far.2 < near.1 => Some(far),
         (Some(near), _) => Some(near),
@@ -96,6 +100,32 @@
     best.map(|(name, _, _)| name.clone())
 }
 
+/// Returns the share of this domain's requests that its own targets take.
+///
+/// The platform's balancer spreads callers evenly over hosts. A domain with a larger share of the
+/// hosts than of the slots would load its targets more than others, so that it passes the surplus
+/// on.
+fn keep_share(
+    table: &table::Table,
+    here: &id::Domain,
+    local: &[Candidate<'_>],
+    remote: &[Candidate<'_>],
+) -> f64 {
+    let slots = |candidates: &[Candidate<'_>]| -> f64 {
+        let slots = candidates.iter().map(|(_, target)| target.slots.0);
+        slots.map(f64::from).sum()
+    };
+    let domains = &table.global.domains;
+    let hosts: usize = domains.values().map(|domain| domain.hosts.len()).sum();
+    let own_hosts = domains.get(here).map_or(0, |domain| domain.hosts.len());
+    if own_hosts == 0 {
+        return 1.0;
+    }
+    let share_of_slots = slots(local) / (slots(local) + slots(remote)).max(1.0);
+    let share_of_hosts = own_hosts as f64 / hosts as f64;
+    (share_of_slots / share_of_hosts).min(1.0)
+}
+
 fn candidates<'a>(
     table: &'a table::Table,
     service: &id::Service,
--- a/crates/yucca-entry/tests/support/mod.rs
+++ b/crates/yucca-entry/tests/support/mod.rs
@@ -82,3 +82,25 @@
     }
     table
 }
+
+/// Gives domains so many hosts each.
+pub fn hosts(table: &mut table::Table, counts: &[(&str, usize)]) {
+    let global = sync::Arc::make_mut(&mut table.global);
+    for (domain, count) in counts {
+        let host = |number| {
+            let host = table::Host {
+                peer: "127.0.0.1:1".parse().unwrap(),
+                control: "127.0.0.1:1".parse().unwrap(),
+                disk: false,
+            };
+            (format!("{domain}-{number}").parse().unwrap(), host)
+        };
+        let stated = table::Domain {
+            region: "western".parse().unwrap(),
+            generation: 0,
+            lost: false,
+            hosts: (0..*count).map(host).collect(),
+        };
+        global.domains.insert(domain.parse().unwrap(), stated);
+    }
+}
--- a/crates/yucca-entry/tests/two_choices.rs
+++ b/crates/yucca-entry/tests/two_choices.rs
@@ -89,3 +89,13 @@
     let heavy = chosen.iter().filter(|target| *target == "a").count();
     assert!(heavy * 3 < chosen.len());
 }
+
+#[test]
+fn surplus_callers_go_elsewhere() {
+    let mut table = support::pool(&[("colombo", &["a"]), ("maradana", &["b", "c", "d"])]);
+    support::hosts(&mut table, &[("colombo", 1), ("maradana", 1)]);
+    let chosen = draw(&table, &choose::Loads::default(), &[]);
+    let local = chosen.iter().filter(|target| *target == "a").count();
+    // Half of the callers, a quarter of the slots: half of what enters here stays.
+    assert!((450..550).contains(&local), "{local} of {DRAWS}");
+}
