--- a/crates/yucca-entry/src/process/lanes/grants.rs
+++ b/crates/yucca-entry/src/process/lanes/grants.rs
@@ -237,11 +237,7 @@
 }
 
 /// Revokes at the target what the lane released, and then tells control.
-pub fn revoke(
-    _shared: &sync::Arc<shared::Shared>,
-    runtime: &sync::Arc<runtime::Runtime>,
-    release: report::Release,
-) {
+pub fn revoke(runtime: &sync::Arc<runtime::Runtime>, release: report::Release) {
     let scope = match &release.key {
         None => owners::Scope::Shard(release.shard),
         Some(key) => owners::Scope::Pin {
--- a/crates/yucca-entry/src/process/lanes/runtime/perform.rs
+++ b/crates/yucca-entry/src/process/lanes/runtime/perform.rs
@@ -54,7 +54,7 @@
                     self.answer(state, id, caller, answer::Answer::refusal(problem, load));
                 }
                 lane::Output::Released { release, .. } => {
-                    grants::revoke(shared, self, release);
+                    grants::revoke(self, release);
                 }
                 other => self.tell(shared, other),
             }
