--- a/crates/yucca-control/src/courier.rs
+++ b/crates/yucca-control/src/courier.rs
@@ -18,6 +18,7 @@
 use crate::message;
 use crate::post;
 use crate::process::lead::lock;
+use crate::replica;
 
 /// The most messages that wait for one host; the oldest are lost, as the logs allow.
 const QUEUE_MESSAGES: usize = 1024;
@@ -77,11 +78,6 @@
         self.sink.get_or_init(|| sink);
     }
 
-    /// Queues a message; it may be lost.
-    pub fn send(&self, to: &id::Host, message: log_message::Message) {
-        self.queue(to).push(message);
-    }
-
     /// Lets `take_in` hand in a batch of a host, and returns what there is to say to it at once.
     pub async fn answer(
         &self,
@@ -124,6 +120,12 @@
     }
 }
 
+impl replica::Carrier for Courier {
+    fn send(&self, to: &id::Host, message: log_message::Message) {
+        self.queue(to).push(message);
+    }
+}
+
 impl Queue {
     fn push(&self, message: log_message::Message) {
         let mut messages = lock(&self.messages);
--- a/crates/yucca-control/src/message.rs
+++ b/crates/yucca-control/src/message.rs
@@ -43,6 +43,8 @@
     Global,
     /// The targets, owners and lanes of a domain.
     Domain(id::Domain),
+    /// The whole state of a deployment that has one log.
+    Site,
 }
 
 impl fmt::Display for Log {
@@ -50,6 +52,7 @@
         match self {
             Self::Global => f.write_str("global"),
             Self::Domain(domain) => write!(f, "domain.{domain}"),
+            Self::Site => f.write_str("site"),
         }
     }
 }
--- a/crates/yucca-control/src/process/core.rs
+++ b/crates/yucca-control/src/process/core.rs
@@ -143,6 +143,7 @@
         match log {
             message::Log::Global => self.global().map(|seat| seat.replica.standing()),
             message::Log::Domain(domain) => self.domain(domain).map(|seat| seat.replica.standing()),
+            message::Log::Site => None,
         }
     }
 
--- a/crates/yucca-control/src/process/seat.rs
+++ b/crates/yucca-control/src/process/seat.rs
@@ -93,6 +93,8 @@
     match log {
         message::Log::Global => global_seating(directory),
         message::Log::Domain(domain) => domain_seating(directory, domain),
+        // Hosts of a deployment with one log run it through yucca-fleet.
+        message::Log::Site => Seating::default(),
     }
 }
 
--- a/crates/yucca-control/src/replica.rs
+++ b/crates/yucca-control/src/replica.rs
@@ -15,7 +15,6 @@
 use yucca_log::{entry, membership, message as log_message, node};
 use yucca_wire::id;
 
-use crate::courier;
 use crate::directory;
 use crate::machine;
 use crate::message;
@@ -27,6 +26,12 @@
 /// A state machine that its replica and the process share.
 pub type Shared = sync::Arc<sync::Mutex<dyn machine::Machine>>;
 
+/// Carries the messages of a log to other hosts.
+pub trait Carrier: Send + Sync {
+    /// Sends a message without waiting; it may be lost.
+    fn send(&self, to: &id::Host, message: log_message::Message);
+}
+
 /// What a replica needs of its process.
 pub struct Parts {
     /// The log.
@@ -38,7 +43,7 @@
     /// The state machine.
     pub machine: Shared,
     /// Carries messages.
-    pub courier: sync::Arc<courier::Courier>,
+    pub courier: sync::Arc<dyn Carrier>,
     /// Is told of each new version of the table.
     pub feed: sync::Arc<feed::Feed>,
     /// The latest directory of hosts.
--- a/crates/yucca-control/src/request/serve.rs
+++ b/crates/yucca-control/src/request/serve.rs
@@ -25,6 +25,7 @@
                 Some(seat) => proposed(seat.replica.propose(propose.entry).await),
                 None => Proposed::NotLeader(None),
             },
+            Log::Site => Proposed::NotLeader(None),
         }
     }
 
--- /dev/null
+++ b/crates/yucca-fleet/src/control.rs
@@ -0,0 +1,232 @@
+//! The control process: it takes part in the log, hears targets and operators, and tells entry
+//! hosts what is agreed on.
+
+mod announce;
+mod call;
+mod carry;
+mod follower;
+mod machine;
+
+use std::net;
+use std::sync;
+use std::time;
+
+use arc_swap::ArcSwap;
+use indexmap::IndexMap;
+use rand::rngs;
+use rand::{Rng, SeedableRng};
+use tokio::net::TcpListener;
+use tokio::sync::{mpsc, watch};
+use tokio::task;
+use yucca_control::{directory, message as log_name, replica, version::feed};
+use yucca_log::node;
+use yucca_own::site::lease;
+
+use crate::clock;
+use crate::dialect::operator;
+use crate::mesh::{link, message};
+use crate::server;
+use crate::settings;
+
+/// How often the leader of the log is heard.
+const HEARTBEAT: time::Duration = time::Duration::from_millis(100);
+
+/// The shortest silence of a leader after which another one is sought.
+const ELECTION: time::Duration = time::Duration::from_millis(450);
+
+/// A target that missed so many announcements gets no further keys.
+const SILENT_ANNOUNCEMENTS: u32 = 3;
+
+/// The first sharing out of keys waits so many announcements for further targets.
+const SETTLE_ANNOUNCEMENTS: f64 = 1.3;
+
+/// The most events of connections that wait.
+const EVENTS: usize = 4096;
+
+/// How long a process that stops waits for another leader.
+const HAND_OVER_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
+
+/// Why a process does not start.
+#[derive(Debug)]
+pub enum Error {
+    /// An address can't be listened on.
+    Listen {
+        /// The address.
+        address: net::SocketAddr,
+        /// What the system reported.
+        error: std::io::Error,
+    },
+    /// A setting is missing.
+    Missing(&'static str),
+    /// The host's address makes no name.
+    Name(yucca_wire::id::Error),
+    /// The log's storage does not open.
+    Storage(yucca_log::storage::Error),
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Listen { address, error } => {
+                write!(
+                    f,
+                    "cannot listen on {address}: {error}; see whether another process does"
+                )
+            }
+            Self::Missing(setting) => {
+                write!(f, "setting `{setting}` is missing; this role needs it")
+            }
+            Self::Name(error) => write!(f, "the host has no name: {error}"),
+            Self::Storage(error) => write!(f, "the log does not open: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// What the parts of the process share.
+///
+/// Locks are taken in the order `machine`, `book`, `followers`, `dialers`; none is held across an
+/// await.
+pub(crate) struct Core {
+    settings: settings::Settings,
+    dialect: Box<dyn operator::Operator>,
+    clock: clock::Clock,
+    replica: replica::Replica,
+    machine: sync::Arc<sync::Mutex<machine::Site>>,
+    /// The leases, with the term in which this host gives them.
+    book: sync::Mutex<Option<(u64, lease::Book)>>,
+    followers: sync::Mutex<IndexMap<link::Id, follower::Follower>>,
+    hosts: sync::Arc<ArcSwap<directory::Directory>>,
+}
+
+/// A running control process.
+pub struct Process {
+    core: sync::Arc<Core>,
+    stop: watch::Sender<bool>,
+    server: task::JoinHandle<()>,
+    _tasks: task::JoinSet<()>,
+}
+
+impl Process {
+    /// Starts a control process.
+    ///
+    /// # Errors
+    /// Fails where a setting is missing, an address is taken or the log does not open.
+    pub async fn start(
+        settings: settings::Settings,
+        dialect: Box<dyn operator::Operator>,
+    ) -> Result<Self, Error> {
+        let operator = settings.addresses.operator;
+        let operator = operator.ok_or(Error::Missing("addresses.operator"))?;
+        let data = settings.data.clone().ok_or(Error::Missing("data"))?;
+        let host = settings.host().map_err(Error::Name)?;
+        let hello = message::Hello {
+            role: message::Role::Control,
+            host: host.clone(),
+            ip: settings.ip,
+            domain: settings.domain.clone(),
+        };
+        let callers = listen(operator).await?;
+        let peers = listen(settings.addresses.mesh).await?;
+        let (events, received) = mpsc::channel(EVENTS);
+        let carrier = carry::Carrier::new(&settings, hello.clone(), events.clone());
+        let carrier = sync::Arc::new(carrier);
+        let hosts = sync::Arc::new(ArcSwap::from_pointee(directory::Directory::default()));
+        let machine = sync::Arc::new(sync::Mutex::new(machine::Site::default()));
+        let mut random = rngs::StdRng::from_os_rng();
+        let seen = hosts.clone();
+        let parts = replica::Parts {
+            log: log_name::Log::Site,
+            config: config(&settings, &host, random.random()),
+            opener: Box::new(replica::storage::Disk {
+                data,
+                host: host.clone(),
+                log: log_name::Log::Site,
+                incarnations: rngs::StdRng::from_rng(&mut random),
+            }),
+            machine: machine.clone(),
+            courier: carrier,
+            feed: sync::Arc::new(feed::Feed::default()),
+            hosts: sync::Arc::new(move || seen.load_full()),
+            rule: replica::Rule::Spread,
+        };
+        let core = sync::Arc::new(Core {
+            dialect,
+            clock: clock::Clock::default(),
+            replica: replica::Replica::start(parts).map_err(Error::Storage)?,
+            machine,
+            book: sync::Mutex::default(),
+            followers: sync::Mutex::default(),
+            hosts,
+            settings,
+        });
+        core.note_hosts(&hello);
+        let (stop, stopped) = watch::channel(false);
+        let mut tasks = task::JoinSet::new();
+        tasks.spawn(link::accept(peers, hello, events));
+        tasks.spawn(core.clone().hear(received));
+        tasks.spawn(core.clone().publish());
+        let handler = sync::Arc::new(call::Handler(core.clone()));
+        let server = tokio::spawn(server::serve(callers, handler, stopped));
+        Ok(Self {
+            core,
+            stop,
+            server,
+            _tasks: tasks,
+        })
+    }
+
+    /// Hands leadership over, lets open requests end and stops.
+    pub async fn stop(self) {
+        self.core.replica.hand_over(HAND_OVER_PATIENCE).await;
+        // The receivers are gone only when the server has ended.
+        self.stop.send(true).ok();
+        let patience = self.core.settings.timing.stop.0 / 4;
+        if tokio::time::timeout(patience, self.server).await.is_err() {
+            log::warn!("requests were still open at the end");
+        }
+    }
+}
+
+impl Core {
+    /// Returns the settings of the leases.
+    fn lease_config(&self) -> lease::Config {
+        let announce = self.settings.timing.announce.0;
+        lease::Config {
+            hold: self.settings.hold(),
+            silence: announce * SILENT_ANNOUNCEMENTS,
+            settle: announce.mul_f64(SETTLE_ANNOUNCEMENTS),
+        }
+    }
+}
+
+fn config(settings: &settings::Settings, host: &yucca_wire::id::Host, seed: u64) -> node::Config {
+    let mut config = node::Config::new(host.clone(), &log_name::Log::Site.to_string());
+    let mut seeds: Vec<yucca_wire::id::Host> = settings
+        .seeds
+        .iter()
+        .filter_map(|ip| ip.to_string().parse().ok())
+        .collect();
+    seeds.sort();
+    seeds.dedup();
+    if settings.bootstrap {
+        config.founders = seeds;
+    } else {
+        config.peers = seeds;
+    }
+    config.heartbeat = HEARTBEAT;
+    config.election = ELECTION;
+    config.seed = seed;
+    config
+}
+
+async fn listen(address: net::SocketAddr) -> Result<TcpListener, Error> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| Error::Listen { address, error })
+}
+
+/// Locks a mutex; a panic of another holder leaves nothing half done that matters here.
+pub(crate) fn lock<T: ?Sized>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
+}
--- /dev/null
+++ b/crates/yucca-fleet/src/control/call.rs
@@ -0,0 +1,193 @@
+//! Requests of operators and targets.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use futures_util::future;
+use http::{Request, Response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body;
+use yucca_control::replica;
+use yucca_log::node;
+use yucca_own::site;
+
+use crate::control::{Core, lock};
+use crate::dialect::operator;
+use crate::server;
+
+/// The most bytes of a request's body.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// The most bytes of a request's head.
+const MAX_HEAD_BYTES: usize = 32 << 10;
+
+/// How long a connection may be idle.
+const IDLE: time::Duration = time::Duration::from_secs(30);
+
+/// How long a request may wait for a quorum.
+const PATIENCE: time::Duration = time::Duration::from_millis(2_500);
+
+/// Why nothing was agreed on.
+pub(super) enum Failure {
+    /// Another host leads.
+    NotLeader,
+    /// It was not done, or whether it was done is not known.
+    Unavailable(String),
+}
+
+/// Answers requests of operators and targets.
+pub(super) struct Handler(pub sync::Arc<Core>);
+
+impl server::Handler for Handler {
+    fn handle(
+        self: sync::Arc<Self>,
+        request: Request<body::Incoming>,
+    ) -> future::BoxFuture<'static, Response<Full<Bytes>>> {
+        Box::pin(async move {
+            let path = request.uri().path().to_owned();
+            let answer = self.0.clone().answer(request).await;
+            self.0.dialect.write(&path, &answer).map(Full::new)
+        })
+    }
+
+    fn head_patience(&self) -> time::Duration {
+        IDLE
+    }
+
+    fn head_bytes(&self) -> usize {
+        MAX_HEAD_BYTES
+    }
+}
+
+impl Core {
+    async fn answer(self: sync::Arc<Self>, request: Request<body::Incoming>) -> operator::Answer {
+        let (parts, body) = request.into_parts();
+        let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => {
+                let reason = format!("the body can't be read: {error}");
+                return operator::Answer::Invalid(operator::Error::Form(reason));
+            }
+        };
+        let call = match self.dialect.read(&parts.method, parts.uri.path(), &body) {
+            Ok(call) => call,
+            Err(error) => {
+                log::warn!("call path={} unreadable: {error:?}", parts.uri.path());
+                return operator::Answer::Invalid(error);
+            }
+        };
+        let answered = tokio::time::timeout(PATIENCE, self.perform(call)).await;
+        match answered {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(Failure::NotLeader)) => self.elsewhere(),
+            Ok(Err(Failure::Unavailable(reason))) => operator::Answer::Unavailable(reason),
+            Err(_) => operator::Answer::Unavailable("no quorum answered in time".into()),
+        }
+    }
+
+    async fn perform(
+        self: &sync::Arc<Self>,
+        call: operator::Call,
+    ) -> Result<operator::Answer, Failure> {
+        match call {
+            operator::Call::Announce { target, beat } => self.announce(target, beat).await,
+            operator::Call::Leave { name, born } => self.leave(name, born).await,
+            operator::Call::Change(patch) => self.change(patch).await,
+            operator::Call::Read => self.read().await,
+        }
+    }
+
+    /// Sends the caller to the leader, where it is known.
+    fn elsewhere(&self) -> operator::Answer {
+        let standing = self.replica.standing();
+        let ip = standing.leader.filter(|_| !standing.leads);
+        let ip = ip.and_then(|host| host.as_str().parse::<net::IpAddr>().ok());
+        match (ip, self.settings.addresses.operator) {
+            (Some(ip), Some(own)) => {
+                operator::Answer::Elsewhere(net::SocketAddr::new(ip, own.port()))
+            }
+            _ => operator::Answer::Unavailable("no leader is known".into()),
+        }
+    }
+
+    async fn change(&self, patch: site::item::Patch) -> Result<operator::Answer, Failure> {
+        let items: Vec<String> = patch
+            .items
+            .iter()
+            .map(|item| format!("{}@{}", item.key, item.revision))
+            .collect();
+        let outcome = self.propose(&site::Command::Change(patch)).await?;
+        match outcome {
+            site::Outcome::Refused(faults) => {
+                log::warn!("change refused: items=[{}] {faults:?}", items.join(", "));
+                Ok(operator::Answer::Refused(faults))
+            }
+            _ => {
+                log::info!("change accepted: items=[{}]", items.join(", "));
+                Ok(operator::Answer::Done)
+            }
+        }
+    }
+
+    async fn leave(
+        &self,
+        name: site::item::Name,
+        born: Option<u64>,
+    ) -> Result<operator::Answer, Failure> {
+        self.confirm().await?;
+        let life = {
+            let machine = lock(&self.machine);
+            let kept = machine.state.targets.latest(&name);
+            kept.map(|kept| kept.target.life.clone())
+        };
+        let meant = life.filter(|life| born.is_none_or(|born| born == life.born));
+        if let Some(life) = meant {
+            log::info!("target={life} leaves");
+            self.propose(&site::Command::Leave(life)).await?;
+        }
+        Ok(operator::Answer::Done)
+    }
+
+    async fn read(&self) -> Result<operator::Answer, Failure> {
+        self.confirm().await?;
+        let machine = lock(&self.machine);
+        let standing = machine.state.items.standing();
+        let lines = standing.map(|(key, kept)| operator::Line {
+            key: key.clone(),
+            revision: kept.revision,
+            source: kept.source.clone(),
+        });
+        Ok(operator::Answer::Items(lines.collect()))
+    }
+
+    /// Waits until a quorum has confirmed that this host leads, and the state holds all that was
+    /// agreed on before.
+    pub(super) async fn confirm(&self) -> Result<(), Failure> {
+        if !self.replica.standing().leads {
+            return Err(Failure::NotLeader);
+        }
+        self.replica.read().await.map(|_| ()).map_err(failure)
+    }
+
+    /// Has a command agreed on.
+    pub(super) async fn propose(&self, command: &site::Command) -> Result<site::Outcome, Failure> {
+        if !self.replica.standing().leads {
+            return Err(Failure::NotLeader);
+        }
+        let entry = rmp_serde::to_vec(command).map_err(|error| {
+            Failure::Unavailable(format!("the command has no encoding: {error}"))
+        })?;
+        let receipt = self.replica.propose(entry.into()).await.map_err(failure)?;
+        rmp_serde::from_slice(&receipt.reply)
+            .map_err(|error| Failure::Unavailable(format!("the outcome is unreadable: {error}")))
+    }
+}
+
+fn failure(error: replica::Error) -> Failure {
+    match error {
+        replica::Error::Refused(node::Refusal::NotLeader { .. }) => Failure::NotLeader,
+        error => Failure::Unavailable(error.to_string()),
+    }
+}
--- /dev/null
+++ b/crates/yucca-fleet/src/control/follower.rs
@@ -0,0 +1,150 @@
+//! Tells those who follow the state of its newest version, and what changed when they ask.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use tokio::sync::mpsc;
+use yucca_control::directory;
+use yucca_wire::id;
+
+use crate::control::{Core, lock};
+use crate::mesh::{link, message};
+
+/// How often followers are told of a version that does not change.
+const NOTICE_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
+
+/// How long versions are gathered before followers are told of the newest.
+const GATHER: time::Duration = time::Duration::from_millis(5);
+
+/// Who is connected to this process.
+#[derive(Debug)]
+pub struct Follower {
+    peer: message::Hello,
+    link: link::Link,
+}
+
+impl Core {
+    /// Takes in what happens on connections.
+    pub(super) async fn hear(self: sync::Arc<Self>, mut events: mpsc::Receiver<link::Event>) {
+        while let Some(event) = events.recv().await {
+            match event {
+                link::Event::Opened { link, peer } => self.note_opened(link, peer),
+                link::Event::Message { id, message } => self.note_message(id, message),
+                link::Event::Closed { id, reason } => {
+                    if let Some(follower) = lock(&self.followers).swap_remove(&id) {
+                        let host = follower.peer.host;
+                        log::info!("peer={host} connection={id} lost: {reason}");
+                    }
+                }
+            }
+        }
+    }
+
+    fn note_opened(&self, link: link::Link, peer: message::Hello) {
+        log::info!(
+            "peer={} role={:?} connection={} opened",
+            peer.host,
+            peer.role,
+            link.id
+        );
+        if peer.role == message::Role::Control {
+            self.note_hosts(&peer);
+        }
+        let id = link.id;
+        let entry = peer.role == message::Role::Entry;
+        lock(&self.followers).insert(id, Follower { peer, link });
+        if entry {
+            self.tell();
+        }
+    }
+
+    /// Keeps the control hosts that were heard of, for the upkeep of the log's membership.
+    pub(super) fn note_hosts(&self, peer: &message::Hello) {
+        let entry = directory::Entry {
+            domain: peer.domain.clone(),
+            address: self.settings.mesh_of(peer.ip),
+            disk: true,
+        };
+        let known = self.hosts.load();
+        if known.hosts.get(&peer.host) == Some(&entry) {
+            return;
+        }
+        let mut next = directory::Directory::clone(&known);
+        next.hosts.insert(peer.host.clone(), entry);
+        self.hosts.store(sync::Arc::new(next));
+    }
+
+    fn note_message(&self, id: link::Id, message: message::Message) {
+        match message {
+            message::Message::Log(message) => {
+                let from = lock(&self.followers)
+                    .get(&id)
+                    .map(|follower| follower.peer.host.clone());
+                if let Some(from) = from {
+                    self.replica.receive(from, *message);
+                }
+            }
+            message::Message::Pull { have } => self.answer_pull(id, have),
+            message::Message::Hello(_)
+            | message::Message::Ping
+            | message::Message::Notice(_)
+            | message::Message::Delta(_) => {}
+        }
+    }
+
+    fn answer_pull(&self, id: link::Id, have: id::Version) {
+        let delta = lock(&self.machine).state.delta(have);
+        if let Some(follower) = lock(&self.followers).get(&id) {
+            // The follower asks again when it hears of a version that it lacks.
+            let _ = follower.link.send(message::Message::Delta(Box::new(delta)));
+        }
+    }
+
+    /// Tells followers of each new version.
+    pub(super) async fn publish(self: sync::Arc<Self>) {
+        let mut standing = self.replica.watch();
+        loop {
+            // The sender lives as long as the replica, which this process owns.
+            let changed = tokio::time::timeout(NOTICE_INTERVAL, standing.changed()).await;
+            if matches!(changed, Ok(Err(_))) {
+                return;
+            }
+            tokio::time::sleep(GATHER).await;
+            standing.mark_unchanged();
+            self.tell();
+        }
+    }
+
+    fn tell(&self) {
+        let notice = self.notice();
+        for follower in lock(&self.followers).values() {
+            if follower.peer.role == message::Role::Entry {
+                // One that reads too slowly hears the next notice.
+                let _ = follower.link.send(message::Message::Notice(notice.clone()));
+            }
+        }
+    }
+
+    fn notice(&self) -> message::Notice {
+        let standing = self.replica.standing();
+        let version = lock(&self.machine).state.version;
+        let members = standing.members.iter();
+        let controls = members.filter_map(|member| member.host.as_str().parse().ok());
+        let controls: Vec<net::IpAddr> = controls.collect();
+        let followers = lock(&self.followers);
+        let mut entries: Vec<(net::IpAddr, id::Domain)> = followers
+            .values()
+            .filter(|follower| follower.peer.role == message::Role::Entry)
+            .map(|follower| (follower.peer.ip, follower.peer.domain.clone()))
+            .collect();
+        entries.sort();
+        entries.dedup();
+        message::Notice {
+            version,
+            current: standing.member && standing.leader.is_some() && version >= standing.commit,
+            controls,
+            entries,
+        }
+    }
+}
--- /dev/null
+++ b/crates/yucca-fleet/src/entry/exchange.rs
@@ -0,0 +1,98 @@
+//! One request to one target.
+
+use std::net;
+use std::time;
+
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, header, response};
+use http_body_util::{BodyExt, Full};
+use hyper::body;
+
+use crate::entry::pool;
+
+/// A request that must not run twice goes out only on a connection used so shortly before.
+const SURE_WITHIN: time::Duration = time::Duration::from_millis(1_500);
+
+/// What came of a request to a target.
+pub enum Exchange {
+    /// A whole answer.
+    Answer(response::Parts, Bytes),
+    /// It was surely not sent.
+    NotSent(String),
+    /// It was sent, and no whole answer came.
+    Lost(String),
+}
+
+/// A request as it is sent.
+pub struct Outgoing {
+    /// Where to.
+    pub address: net::SocketAddr,
+    /// The request.
+    pub request: Request<Full<Bytes>>,
+    /// Whether it may run twice.
+    pub idempotent: bool,
+}
+
+/// Sends a request and waits for the whole answer. Dropped, it closes the connection, which stops
+/// the work at the target.
+pub async fn run(pool: &pool::Pool, outgoing: Outgoing) -> Exchange {
+    let within = if outgoing.idempotent {
+        time::Duration::MAX
+    } else {
+        SURE_WITHIN
+    };
+    let mut request = outgoing.request;
+    let address = outgoing.address;
+    while let Some(mut sender) = pool.take(address, within).await {
+        match sender.try_send_request(request).await {
+            Ok(answer) => return collect(pool, address, sender, answer).await,
+            Err(mut error) => match error.take_message() {
+                // The connection had ended before anything was written.
+                Some(unsent) => request = unsent,
+                None => return Exchange::Lost(error.into_error().to_string()),
+            },
+        }
+    }
+    let mut sender = match pool.open(address).await {
+        Ok(sender) => sender,
+        Err(reason) => return Exchange::NotSent(reason),
+    };
+    match sender.try_send_request(request).await {
+        Ok(answer) => collect(pool, address, sender, answer).await,
+        Err(mut error) => match error.take_message() {
+            Some(_) => Exchange::NotSent(error.into_error().to_string()),
+            None => Exchange::Lost(error.into_error().to_string()),
+        },
+    }
+}
+
+async fn collect(
+    pool: &pool::Pool,
+    address: net::SocketAddr,
+    sender: pool::Sender,
+    answer: Response<body::Incoming>,
+) -> Exchange {
+    let (parts, body) = answer.into_parts();
+    match body.collect().await {
+        Ok(body) => {
+            if !closes(&parts.headers) {
+                pool.give_back(address, sender, keep_alive(&parts.headers));
+            }
+            Exchange::Answer(parts, body.to_bytes())
+        }
+        Err(error) => Exchange::Lost(format!("the answer broke off: {error}")),
+    }
+}
+
+fn closes(headers: &HeaderMap) -> bool {
+    let value = headers.get(header::CONNECTION);
+    value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
+}
+
+/// Returns how long the target keeps the connection idle, where it says so.
+fn keep_alive(headers: &HeaderMap) -> Option<time::Duration> {
+    let text = headers.get("keep-alive")?.to_str().ok()?;
+    let mut parts = text.split(',').map(str::trim);
+    let seconds = parts.find_map(|part| part.strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(time::Duration::from_secs)
+}
--- /dev/null
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -0,0 +1,217 @@
+//! Follows the state that the control hosts agree on.
+
+use std::net;
+use std::sync;
+use std::time;
+
+use indexmap::{IndexMap, IndexSet};
+use tokio::sync::mpsc;
+use yucca_lane::shared::target as shared;
+use yucca_own::site::{self, delta, item, target};
+use yucca_wire::id;
+
+use crate::entry::{Core, gossip, view};
+use crate::mesh::{link, message};
+
+/// After so long without an answer the state is asked for again.
+const PULL_PATIENCE: time::Duration = time::Duration::from_millis(250);
+
+/// How long a control host that others no longer name is still called.
+const FORGET_AFTER: time::Duration = time::Duration::from_secs(30);
+
+/// What this host knows of the control hosts and their state.
+struct Follower {
+    core: sync::Arc<Core>,
+    hello: message::Hello,
+    events: mpsc::Sender<link::Event>,
+    state: site::State,
+    /// The connections to control hosts, and when each host was last named.
+    dialers: IndexMap<net::IpAddr, (link::Dialer, time::Duration)>,
+    links: IndexMap<link::Id, Control>,
+    /// When the state was last asked for, while no answer has come.
+    pulled: Option<time::Duration>,
+    /// The newest version that a control host in touch with the leader has told.
+    newest: Option<id::Version>,
+}
+
+/// A control host that is connected.
+struct Control {
+    link: link::Link,
+    peer: message::Hello,
+    entries: Vec<(net::IpAddr, id::Domain)>,
+}
+
+/// Follows the state until the process ends.
+pub async fn run(
+    core: sync::Arc<Core>,
+    hello: message::Hello,
+    events: mpsc::Sender<link::Event>,
+    mut received: mpsc::Receiver<link::Event>,
+) {
+    let mut follower = Follower {
+        hello,
+        events,
+        state: site::State::default(),
+        dialers: IndexMap::new(),
+        links: IndexMap::new(),
+        pulled: None,
+        newest: None,
+        core,
+    };
+    let seeds = follower.core.settings.seeds.clone();
+    follower.dial(&seeds);
+    while let Some(event) = received.recv().await {
+        match event {
+            link::Event::Opened { link, peer } => follower.note_opened(link, peer),
+            link::Event::Closed { id, reason } => follower.note_closed(id, &reason),
+            link::Event::Message { id, message } => follower.note_message(id, message),
+        }
+    }
+}
+
+impl Follower {
+    fn dial(&mut self, ips: &[net::IpAddr]) {
+        let now = self.core.clock.now();
+        for ip in ips {
+            let address = self.core.settings.mesh_of(*ip);
+            match self.dialers.get_mut(ip) {
+                Some((_, named)) => *named = now,
+                None => {
+                    let hello = self.hello.clone();
+                    let dialer = link::Dialer::start(address, hello, self.events.clone());
+                    self.dialers.insert(*ip, (dialer, now));
+                }
+            }
+        }
+        let seeds = &self.core.settings.seeds;
+        self.dialers
+            .retain(|ip, (_, named)| now < *named + FORGET_AFTER || seeds.contains(ip));
+    }
+
+    fn note_opened(&mut self, link: link::Link, peer: message::Hello) {
+        log::info!("control={} connection={} opened", peer.host, link.id);
+        let control = Control {
+            peer,
+            entries: Vec::new(),
+            link,
+        };
+        self.links.insert(control.link.id, control);
+    }
+
+    fn note_closed(&mut self, id: link::Id, reason: &str) {
+        if let Some(control) = self.links.swap_remove(&id) {
+            log::info!(
+                "control={} connection={id} lost: {reason}",
+                control.peer.host
+            );
+        }
+        self.pulled = None;
+        self.share_peers();
+    }
+
+    fn note_message(&mut self, id: link::Id, message: message::Message) {
+        match message {
+            message::Message::Notice(notice) => self.note_notice(id, notice),
+            message::Message::Delta(delta) => self.note_delta(*delta),
+            message::Message::Hello(_)
+            | message::Message::Ping
+            | message::Message::Log(_)
+            | message::Message::Pull { .. } => {}
+        }
+    }
+
+    fn note_notice(&mut self, id: link::Id, notice: message::Notice) {
+        let now = self.core.clock.now();
+        self.dial(&notice.controls);
+        if let Some(control) = self.links.get_mut(&id) {
+            control.entries = notice.entries;
+        }
+        self.share_peers();
+        if notice.current {
+            self.newest = self.newest.max(Some(notice.version));
+        }
+        let asked = self.pulled.is_some_and(|at| now < at + PULL_PATIENCE);
+        if notice.version > self.state.version && !asked {
+            let have = self.state.version;
+            if let Some(control) = self.links.get(&id)
+                && control.link.send(message::Message::Pull { have })
+            {
+                self.pulled = Some(now);
+            }
+        }
+        self.note_synced();
+    }
+
+    fn note_delta(&mut self, delta: delta::Delta) {
+        self.pulled = None;
+        let to = delta.to;
+        if self.state.follow(delta) {
+            log::info!("state version={to} in force");
+            self.put_in_force();
+        }
+        self.note_synced();
+    }
+
+    fn note_synced(&self) {
+        let newest = self
+            .newest
+            .is_some_and(|newest| self.state.version >= newest);
+        if newest && !*self.core.synced.borrow() {
+            log::info!("state version={} is the newest; ready", self.state.version);
+            self.core.synced.send_replace(true);
+        }
+    }
+
+    fn put_in_force(&self) {
+        let now = self.core.clock.now();
+        self.core
+            .view
+            .store(sync::Arc::new(view::View::new(&self.state)));
+        let mut facts: IndexMap<&item::Name, Vec<shared::Facts>> = IndexMap::new();
+        for (key, _) in self.state.items.standing() {
+            if key.kind == item::Kind::Service {
+                facts.entry(&key.name).or_default();
+            }
+        }
+        for kept in self.state.targets.iter() {
+            let of_service = facts.entry(&kept.target.service).or_default();
+            of_service.push(self.fact(kept));
+        }
+        for (service, facts) in facts {
+            let map = self.state.ranges.get(service).cloned();
+            let known = self.state.items.service(service);
+            let keyed = known.is_some_and(|known| known.keyed);
+            self.core.desk.update(service, &facts, keyed, map, now);
+        }
+    }
+
+    fn fact(&self, kept: &target::Kept) -> shared::Facts {
+        shared::Facts {
+            number: kept.number,
+            near: kept.target.domain.0 == self.core.settings.domain.as_str(),
+            slots: kept.target.slots,
+            open: kept.target.phase == target::Phase::Ready,
+        }
+    }
+
+    /// Shares the other entry hosts, as all control hosts together see them.
+    fn share_peers(&self) {
+        let own = self.core.settings.ip;
+        let entries: IndexSet<&(net::IpAddr, id::Domain)> = self
+            .links
+            .values()
+            .flat_map(|control| &control.entries)
+            .filter(|(ip, _)| *ip != own)
+            .collect();
+        let peers: Vec<gossip::Peer> = entries
+            .into_iter()
+            .map(|(ip, domain)| gossip::Peer {
+                ip: *ip,
+                near: *domain == self.core.settings.domain,
+            })
+            .collect();
+        if peers != **self.core.peers.load() {
+            self.core.peers.store(sync::Arc::new(peers));
+        }
+    }
+}
--- /dev/null
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -0,0 +1,464 @@
+//! The way of one request of a caller.
+
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use futures_util::future;
+use http::{HeaderMap, Request, Response, header, request, response};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::body;
+use rand::Rng;
+use yucca_lane::shared::service;
+use yucca_own::site::{item, range, target as site};
+
+use crate::dialect::{caller, target};
+use crate::entry::{Core, exchange, view};
+use crate::server;
+
+/// How long past the route's timeout an answer may still come.
+const TIMEOUT_GRACE: time::Duration = time::Duration::from_millis(120);
+
+/// How long before the caller gives up an answer of our own goes out.
+const ANSWER_MARGIN: time::Duration = time::Duration::from_millis(25);
+
+/// How long a caller without a patience of its own is presumed to wait.
+const DEFAULT_PATIENCE: time::Duration = time::Duration::from_secs(30);
+
+/// How long a connection may be idle before limits are configured.
+const DEFAULT_IDLE: time::Duration = time::Duration::from_secs(15);
+
+/// The most bytes of a head before limits are configured.
+const DEFAULT_HEAD_BYTES: usize = 16 << 10;
+
+/// The smallest buffer for heads that the HTTP library takes, in bytes.
+const LEAST_HEAD_BYTES: usize = 8 << 10;
+
+/// The most bytes of a body before limits are configured.
+const DEFAULT_BODY_BYTES: usize = 1 << 20;
+
+/// When a caller should return to a host that knows no configuration yet.
+const UNCONFIGURED_RETURN: time::Duration = time::Duration::from_millis(200);
+
+/// Headers that concern one connection only.
+const HOP_HEADERS: [header::HeaderName; 6] = [
+    header::CONNECTION,
+    header::TRANSFER_ENCODING,
+    header::TE,
+    header::TRAILER,
+    header::UPGRADE,
+    header::PROXY_AUTHORIZATION,
+];
+
+/// The header with a connection's idle time, which concerns one connection only.
+const KEEP_ALIVE: &str = "keep-alive";
+
+/// Answers requests of callers.
+pub(super) struct Handler(pub sync::Arc<Core>);
+
+impl server::Handler for Handler {
+    fn handle(
+        self: sync::Arc<Self>,
+        request: Request<body::Incoming>,
+    ) -> future::BoxFuture<'static, Response<Full<Bytes>>> {
+        Box::pin(async move {
+            let mut answer = self.0.answer(request).await;
+            if *self.0.stopping.borrow() {
+                let close = http::HeaderValue::from_static("close");
+                answer.headers_mut().insert(header::CONNECTION, close);
+            }
+            answer.map(Full::new)
+        })
+    }
+
+    fn head_patience(&self) -> time::Duration {
+        let view = self.0.view.load();
+        view.limits
+            .as_ref()
+            .map_or(DEFAULT_IDLE, |limits| limits.idle_timeout)
+    }
+
+    fn head_bytes(&self) -> usize {
+        let view = self.0.view.load();
+        let wanted = view
+            .limits
+            .as_ref()
+            .map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes as usize);
+        wanted.max(LEAST_HEAD_BYTES)
+    }
+}
+
+/// A request that was read and has a route.
+struct Job {
+    head: caller::Head,
+    parts: request::Parts,
+    body: Bytes,
+    route: sync::Arc<view::Route>,
+    service: item::Name,
+    arrived: time::Duration,
+    limit_at: time::Duration,
+}
+
+/// What came of one attempt.
+enum Attempt {
+    /// The caller's answer.
+    Answer(Response<Bytes>),
+    /// An answer that says that the target failed; another target may do better.
+    Failure(Response<Bytes>),
+    /// It has not run.
+    NotRun,
+    /// It was sent, and whether it ran is not known.
+    Unknown,
+}
+
+impl Core {
+    async fn answer(self: &sync::Arc<Self>, request: Request<body::Incoming>) -> Response<Bytes> {
+        let arrived = self.clock.now();
+        let (parts, body) = request.into_parts();
+        let head = match self.caller.head(&parts) {
+            Ok(head) => head,
+            Err(refusal) => {
+                log::info!("request malformed: {} {}", parts.method, parts.uri);
+                return self.caller.refuse(None, refusal);
+            }
+        };
+        let view = self.view.load_full();
+        let Some(route) = view.route(&head.host, parts.uri.path()).cloned() else {
+            return self.unrouted(&view, &head, &parts);
+        };
+        let limit = view.limits.as_ref().map_or(DEFAULT_BODY_BYTES, |limits| {
+            usize::try_from(limits.body_bytes).unwrap_or(usize::MAX)
+        });
+        let body = match Limited::new(body, limit).collect().await {
+            Ok(body) => body.to_bytes(),
+            Err(error) => {
+                log::info!("request={:?} body refused: {error}", head.id);
+                let large = error.is::<http_body_util::LengthLimitError>();
+                let refusal = if large {
+                    caller::Refusal::TooLarge
+                } else {
+                    caller::Refusal::Malformed
+                };
+                return self.caller.refuse(Some(&head.id), refusal);
+            }
+        };
+        let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
+        let patience = patience
+            .saturating_sub(ANSWER_MARGIN)
+            .min(route.route.timeout + TIMEOUT_GRACE);
+        let job = Job {
+            service: choose(&route.route),
+            head,
+            parts,
+            body,
+            route,
+            arrived,
+            limit_at: arrived + patience,
+        };
+        self.desk.count(&job.service, arrived);
+        let mut trail = Trail::default();
+        let answer = self.run(&job, &mut trail).await;
+        trail.log(self, &job, answer.status());
+        answer
+    }
+
+    fn unrouted(
+        &self,
+        view: &view::View,
+        head: &caller::Head,
+        parts: &request::Parts,
+    ) -> Response<Bytes> {
+        let refusal = if view.is_configured() && *self.synced.borrow() {
+            caller::Refusal::NoRoute
+        } else {
+            caller::Refusal::NotRun(UNCONFIGURED_RETURN)
+        };
+        log::info!(
+            "request={:?} host={} path={} version={} no route",
+            head.id,
+            head.host,
+            parts.uri.path(),
+            view.version
+        );
+        self.caller.refuse(Some(&head.id), refusal)
+    }
+
+    /// Sends the request until there is an answer, or none can come.
+    async fn run(self: &sync::Arc<Self>, job: &Job, trail: &mut Trail) -> Response<Bytes> {
+        let mut last = caller::Refusal::NotRun(time::Duration::ZERO);
+        loop {
+            let decided = self.decide(job, trail).await;
+            let (target, token) = match decided {
+                Some(service::Decision::Send { target, token, .. }) => (target, token),
+                Some(service::Decision::Refuse { retry_after, .. }) => {
+                    let refusal = match last {
+                        caller::Refusal::NotRun(_) => caller::Refusal::NotRun(retry_after),
+                        other => other,
+                    };
+                    return self.refuse(job, refusal);
+                }
+                None => return self.refuse(job, last),
+            };
+            let attempt = self.attempt(job, trail, target, token).await;
+            let again = trail.sent < job.route.route.attempts;
+            match attempt {
+                Attempt::Answer(answer) => return answer,
+                Attempt::Failure(answer) => {
+                    if !job.route.route.idempotent || !again || !self.may_repeat(job) {
+                        return answer;
+                    }
+                    last = caller::Refusal::Unknown;
+                }
+                Attempt::NotRun => {
+                    if trail.sent > 0 && !self.may_repeat(job) {
+                        return self.refuse(job, self.not_run(job, last));
+                    }
+                }
+                Attempt::Unknown => {
+                    last = caller::Refusal::Unknown;
+                    if self.clock.now() >= job.limit_at {
+                        return self.refuse(job, caller::Refusal::Timeout);
+                    }
+                    if !job.route.route.idempotent || !again || !self.may_repeat(job) {
+                        return self.refuse(job, last);
+                    }
+                }
+            }
+        }
+    }
+
+    async fn decide(self: &sync::Arc<Self>, job: &Job, trail: &Trail) -> Option<service::Decision> {
+        let request = service::Request {
+            number: 0,
+            key: job.head.key,
+            priority: job.route.route.priority,
+            objective_at: job.arrived + job.route.route.objective,
+            limit_at: job.limit_at,
+            tried: trail.tried.clone(),
+        };
+        let mut waiter = self.desk.ask(&job.service, request, self.clock.now());
+        waiter.decision().await
+    }
+
+    fn may_repeat(&self, job: &Job) -> bool {
+        let hosts = self.peers.load().len() + 1;
+        self.desk.repeat(&job.service, hosts, self.clock.now())
+    }
+
+    /// Returns the refusal of a request that has not run, unless an earlier attempt may have.
+    fn not_run(&self, job: &Job, last: caller::Refusal) -> caller::Refusal {
+        match last {
+            caller::Refusal::NotRun(_) => {
+                let left = job.limit_at.saturating_sub(self.clock.now());
+                caller::Refusal::NotRun(left / 4)
+            }
+            other => other,
+        }
+    }
+
+    fn refuse(&self, job: &Job, refusal: caller::Refusal) -> Response<Bytes> {
+        self.caller.refuse(Some(&job.head.id), refusal)
+    }
+
+    /// Sends the request to one target.
+    async fn attempt(
+        self: &sync::Arc<Self>,
+        job: &Job,
+        trail: &mut Trail,
+        number: site::Number,
+        token: Option<range::Token>,
+    ) -> Attempt {
+        let start = self.clock.now();
+        let mut flight = Flight {
+            core: self,
+            service: &job.service,
+            target: number,
+            outcome: service::Outcome::Dropped,
+        };
+        trail.tried.push(number);
+        let Some(target) = self.view.load().targets.get(&number).cloned() else {
+            return Attempt::NotRun;
+        };
+        let left = job.limit_at.saturating_sub(start);
+        let outgoing = exchange::Outgoing {
+            address: target.address,
+            request: self.outgoing(job, &target, left),
+            idempotent: job.route.route.idempotent,
+        };
+        let exchanged = tokio::time::timeout(left, exchange::run(&self.pool, outgoing)).await;
+        match exchanged {
+            Err(_) => {
+                trail.note(&target.name, "no answer in time");
+                trail.sent += 1;
+                flight.outcome = service::Outcome::Failed;
+                Attempt::Unknown
+            }
+            Ok(exchange::Exchange::NotSent(reason)) => {
+                trail.note(&target.name, &reason);
+                flight.outcome = service::Outcome::Failed;
+                Attempt::NotRun
+            }
+            Ok(exchange::Exchange::Lost(reason)) => {
+                trail.note(&target.name, &reason);
+                trail.sent += 1;
+                flight.outcome = service::Outcome::Failed;
+                Attempt::Unknown
+            }
+            Ok(exchange::Exchange::Answer(parts, body)) => {
+                trail.sent += 1;
+                let verdict = self.target.judge(&parts, &job.head.id, &target.name);
+                trail.note(&target.name, verdict_text(verdict));
+                let took = self.clock.now().saturating_sub(start);
+                flight.outcome = outcome(verdict, took, job.head.key, token);
+                match verdict {
+                    target::Verdict::Answer => Attempt::Answer(inbound(parts, body)),
+                    target::Verdict::Failure => Attempt::Failure(inbound(parts, body)),
+                    target::Verdict::Shed
+                    | target::Verdict::Denied
+                    | target::Verdict::Elsewhere => {
+                        if verdict == target::Verdict::Denied {
+                            trail.tried.pop();
+                        }
+                        Attempt::NotRun
+                    }
+                    target::Verdict::Foreign => Attempt::Unknown,
+                }
+            }
+        }
+    }
+
+    fn outgoing(
+        &self,
+        job: &Job,
+        target: &view::Target,
+        left: time::Duration,
+    ) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(job.body.clone()));
+        *request.method_mut() = job.parts.method.clone();
+        *request.uri_mut() = job.parts.uri.clone();
+        let headers = request.headers_mut();
+        *headers = job.parts.headers.clone();
+        strip(headers);
+        let attempt = target::Attempt {
+            target: &target.name,
+            left,
+        };
+        self.target.dress(headers, attempt);
+        request
+    }
+}
+
+/// A request at a target; what became of it is told when this is dropped.
+struct Flight<'a> {
+    core: &'a Core,
+    service: &'a item::Name,
+    target: site::Number,
+    outcome: service::Outcome,
+}
+
+impl Drop for Flight<'_> {
+    fn drop(&mut self) {
+        let now = self.core.clock.now();
+        self.core
+            .desk
+            .finish(self.service, self.target, self.outcome, now);
+    }
+}
+
+/// What happened to a request so far.
+#[derive(Default)]
+struct Trail {
+    tried: Vec<site::Number>,
+    sent: u32,
+    notes: String,
+}
+
+impl Trail {
+    fn note(&mut self, target: &item::Name, what: &str) {
+        if !self.notes.is_empty() {
+            self.notes.push_str("; ");
+        }
+        self.notes.push_str(&format!("{target}: {what}"));
+    }
+
+    fn log(&self, core: &Core, job: &Job, status: http::StatusCode) {
+        let took = core.clock.now().saturating_sub(job.arrived);
+        log::info!(
+            "request={} route={}@{} service={} key={:?} patience={:?} took={took:?} status={} sent={} [{}]",
+            String::from_utf8_lossy(&job.head.id),
+            job.route.name,
+            job.route.revision,
+            job.service,
+            job.head.key,
+            job.head.patience,
+            status.as_u16(),
+            self.sent,
+            self.notes
+        );
+    }
+}
+
+fn verdict_text(verdict: target::Verdict) -> &'static str {
+    match verdict {
+        target::Verdict::Answer => "answered",
+        target::Verdict::Failure => "failed",
+        target::Verdict::Shed => "had no room",
+        target::Verdict::Denied => "does not hold the key",
+        target::Verdict::Elsewhere => "another target is there",
+        target::Verdict::Foreign => "an answer that is not to this request",
+    }
+}
+
+fn outcome(
+    verdict: target::Verdict,
+    took: time::Duration,
+    key: Option<u16>,
+    token: Option<range::Token>,
+) -> service::Outcome {
+    match (verdict, key, token) {
+        (target::Verdict::Answer | target::Verdict::Failure, _, _) => {
+            service::Outcome::Answered(took)
+        }
+        (target::Verdict::Denied, Some(key), Some(token)) => {
+            service::Outcome::Denied { key, token }
+        }
+        (target::Verdict::Shed | target::Verdict::Denied, _, _) => service::Outcome::Shed,
+        (target::Verdict::Elsewhere | target::Verdict::Foreign, _, _) => service::Outcome::Failed,
+    }
+}
+
+/// Draws one of the route's services by weight.
+fn choose(route: &item::Route) -> item::Name {
+    let total: u32 = route.ways.iter().map(|way| way.weight).sum();
+    let mut drawn = if total > 0 && route.ways.len() > 1 {
+        rand::rng().random_range(0..total)
+    } else {
+        0
+    };
+    for way in &route.ways {
+        if drawn < way.weight {
+            return way.service.clone();
+        }
+        drawn -= way.weight;
+    }
+    route
+        .ways
+        .first()
+        .map(|way| way.service.clone())
+        .unwrap_or_default()
+}
+
+fn inbound(mut parts: response::Parts, body: Bytes) -> Response<Bytes> {
+    strip(&mut parts.headers);
+    parts.version = http::Version::HTTP_11;
+    Response::from_parts(parts, body)
+}
+
+/// Takes out what concerns one connection only.
+fn strip(headers: &mut HeaderMap) {
+    for name in &HOP_HEADERS {
+        headers.remove(name);
+    }
+    headers.remove(KEEP_ALIVE);
+    headers.remove(header::CONTENT_LENGTH);
+}
--- /dev/null
+++ b/crates/yucca-fleet/src/lib.rs
@@ -0,0 +1,14 @@
+//! The processes of a deployment with one log group: control hosts with disks, and entry hosts that
+//! send to targets which they share.
+//!
+//! Hosts are named by their IP address and find each other from a few seeds. What outsiders speak
+//! is behind the traits of [`dialect`].
+
+pub mod clock;
+pub mod control;
+pub mod dialect;
+pub mod entry;
+pub mod journal;
+pub mod mesh;
+pub mod server;
+pub mod settings;
--- a/crates/yucca-lane/src/lib.rs
+++ b/crates/yucca-lane/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod owners;
 pub mod queue;
 pub mod request;
+pub mod shared;
 pub mod slots;
 pub mod standby;
--- /dev/null
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -0,0 +1,275 @@
+//! The requests of one service that wait at this host, and the targets that they may go to.
+
+use std::time;
+
+use indexmap::{IndexMap, IndexSet};
+use yucca_own::site::{range, target as site};
+
+use crate::shared::target;
+
+/// How many requests a target may have beyond its slots. They hide the way to it and back.
+const DEPTH: u32 = 1;
+
+/// How long a stripe waits after its owner said that it does not hold it.
+const DENIED_PAUSE: time::Duration = time::Duration::from_millis(100);
+
+/// The part of the time left after which a refused caller should return.
+const RETURN_SHARE: u32 = 3;
+
+/// A request that waits for a target.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Request {
+    /// Its number at this host.
+    pub number: u64,
+    /// The key, where the caller gave one.
+    pub key: Option<u16>,
+    /// The rank; 0 is the most urgent.
+    pub priority: u8,
+    /// When an answer stops being worth the most.
+    pub objective_at: time::Duration,
+    /// When the caller gives up, or may be kept waiting no longer.
+    pub limit_at: time::Duration,
+    /// Targets that it was sent to before.
+    pub tried: Vec<site::Number>,
+}
+
+/// What is to become of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Decision {
+    /// Send it.
+    Send {
+        /// The request.
+        number: u64,
+        /// To this target.
+        target: site::Number,
+        /// Under this token, where the service is divided by key.
+        token: Option<range::Token>,
+    },
+    /// Refuse it; it has not run.
+    Refuse {
+        /// The request.
+        number: u64,
+        /// When the caller should return.
+        retry_after: time::Duration,
+    },
+}
+
+/// What became of a request that was sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was answered after this time.
+    Answered(time::Duration),
+    /// The target said that it has not run it, for want of room.
+    Shed,
+    /// The target said that it does not hold the key.
+    Denied {
+        /// The key.
+        key: u16,
+        /// The token under which it was sent.
+        token: range::Token,
+    },
+    /// The target could not be reached, fell silent or broke off.
+    Failed,
+    /// The request was given up by its caller or for its deadline.
+    Dropped,
+}
+
+/// One service at this host.
+#[derive(Debug, Clone, Default)]
+pub struct Service {
+    targets: IndexMap<site::Number, target::Target>,
+    /// Whether the targets divide the keys among themselves.
+    keyed: bool,
+    /// The owners of the keys, once they are shared out.
+    map: Option<range::Map>,
+    /// Stripes that their owner denied to hold under a token, and until when they wait.
+    denied: IndexMap<u32, (range::Token, time::Duration)>,
+    waiting: IndexMap<u64, Request>,
+}
+
+impl Service {
+    /// Takes in the targets; those that are not named are forgotten.
+    pub fn set_targets(&mut self, facts: &[target::Facts]) {
+        let named: IndexSet<site::Number> = facts.iter().map(|fact| fact.number).collect();
+        self.targets.retain(|number, _| named.contains(number));
+        for fact in facts {
+            let known = self.targets.entry(fact.number);
+            known
+                .and_modify(|target| target.facts = *fact)
+                .or_insert_with(|| target::Target::new(*fact));
+        }
+    }
+
+    /// Takes in whether the service is divided by key, and the owners of the keys.
+    pub fn set_map(&mut self, keyed: bool, map: Option<range::Map>) {
+        self.keyed = keyed;
+        self.map = map;
+    }
+
+    /// Takes in how many requests other hosts have at the targets.
+    pub fn set_others(&mut self, loads: &IndexMap<site::Number, u32>) {
+        for (number, target) in &mut self.targets {
+            target.others = loads.get(number).copied().unwrap_or(0);
+        }
+    }
+
+    /// Returns the requests of this host at its targets.
+    pub fn loads(&self) -> impl Iterator<Item = (site::Number, u32)> + '_ {
+        let busy = self.targets.iter().filter(|(_, target)| target.own > 0);
+        busy.map(|(number, target)| (*number, target.own))
+    }
+
+    /// Returns what is known of a target.
+    pub fn target(&self, number: site::Number) -> Option<&target::Target> {
+        self.targets.get(&number)
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Takes in a request.
+    pub fn arrive(&mut self, request: Request, now: time::Duration) -> Vec<Decision> {
+        self.waiting.insert(request.number, request);
+        self.dispatch(now)
+    }
+
+    /// Forgets a request that waits, whose caller has gone.
+    pub fn cancel(&mut self, number: u64) {
+        self.waiting.shift_remove(&number);
+    }
+
+    /// Takes in that a request was not sent after all.
+    pub fn take_back(&mut self, number: site::Number) {
+        if let Some(target) = self.targets.get_mut(&number) {
+            target.own = target.own.saturating_sub(1);
+        }
+    }
+
+    /// Takes in what became of a request that was sent.
+    pub fn finish(
+        &mut self,
+        number: site::Number,
+        outcome: Outcome,
+        now: time::Duration,
+    ) -> Vec<Decision> {
+        if let Some(target) = self.targets.get_mut(&number) {
+            match outcome {
+                Outcome::Answered(took) => target.answered(took),
+                Outcome::Failed => target.failed(now),
+                Outcome::Shed | Outcome::Denied { .. } | Outcome::Dropped => {}
+            }
+            target.own = target.own.saturating_sub(1);
+        }
+        if let (Outcome::Denied { key, token }, Some(map)) = (outcome, &self.map) {
+            let until = now + DENIED_PAUSE;
+            self.denied.insert(map.stripe_of(key), (token, until));
+        }
+        self.dispatch(now)
+    }
+
+    /// Returns the time at which [`Service::dispatch`] has something to do by itself.
+    pub fn next_wake(&self, now: time::Duration) -> Option<time::Duration> {
+        let limits = self.waiting.values().map(|request| request.limit_at);
+        let denied = self.denied.values().map(|(_, until)| *until);
+        let paused = self.targets.values().map(|target| target.paused_until);
+        let waits = !self.waiting.is_empty();
+        let all = limits.chain(denied).chain(paused);
+        all.filter(|at| waits && *at > now).min()
+    }
+
+    /// Sends what can be sent and refuses what can't be served any more.
+    pub fn dispatch(&mut self, now: time::Duration) -> Vec<Decision> {
+        self.denied.retain(|_, (_, until)| *until > now);
+        let mut order: Vec<(bool, u8, time::Duration, u64)> = self
+            .waiting
+            .values()
+            .map(|request| {
+                let late = request.objective_at <= now;
+                (late, request.priority, request.objective_at, request.number)
+            })
+            .collect();
+        order.sort_unstable();
+        let mut decisions = Vec::new();
+        for (_, _, _, number) in order {
+            let Some(request) = self.waiting.get(&number) else {
+                continue;
+            };
+            if let Some((target, token)) = self.place(request, now) {
+                self.waiting.shift_remove(&number);
+                if let Some(target) = self.targets.get_mut(&target) {
+                    target.own += 1;
+                }
+                decisions.push(Decision::Send {
+                    number,
+                    target,
+                    token,
+                });
+            } else if request.limit_at <= now + self.shortest(request) {
+                let left = request.limit_at.saturating_sub(now);
+                self.waiting.shift_remove(&number);
+                decisions.push(Decision::Refuse {
+                    number,
+                    retry_after: left / RETURN_SHARE,
+                });
+            }
+        }
+        decisions
+    }
+
+    /// Returns the shortest time in which the request could be answered once it is sent.
+    fn shortest(&self, request: &Request) -> time::Duration {
+        let targets = self.targets.values();
+        let fastest = targets.map(target::Target::time).min();
+        let left = request.limit_at.saturating_sub(request.objective_at);
+        fastest.unwrap_or_default().min(left)
+    }
+
+    /// Returns the target that a request should go to now.
+    fn place(
+        &self,
+        request: &Request,
+        now: time::Duration,
+    ) -> Option<(site::Number, Option<range::Token>)> {
+        if !self.keyed {
+            return self.best(request, now).map(|number| (number, None));
+        }
+        self.owner(self.map.as_ref()?, request.key?, now)
+    }
+
+    fn owner(
+        &self,
+        map: &range::Map,
+        key: u16,
+        now: time::Duration,
+    ) -> Option<(site::Number, Option<range::Token>)> {
+        let number = map.stripe_of(key);
+        let stripe = map.get(number)?;
+        if self
+            .denied
+            .get(&number)
+            .is_some_and(|(token, _)| *token == stripe.token)
+        {
+            return None;
+        }
+        let owner = stripe.owner?;
+        let target = self.targets.get(&owner)?;
+        let room = target.load() < target.facts.slots + DEPTH;
+        (room && target.is_usable(now)).then_some((owner, Some(stripe.token)))
+    }
+
+    /// Near targets with a free slot go first, then far ones, then those where it would queue.
+    fn best(&self, request: &Request, now: time::Duration) -> Option<site::Number> {
+        let usable = self.targets.values().filter(|target| {
+            target.is_usable(now)
+                && target.load() < target.facts.slots + DEPTH
+                && !request.tried.contains(&target.facts.number)
+        });
+        let best = usable.min_by_key(|target| {
+            let queued = target.load() >= target.facts.slots;
+            (queued, !target.facts.near, target.expected())
+        });
+        best.map(|target| target.facts.number)
+    }
+}
--- /dev/null
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -0,0 +1,98 @@
+//! What one host knows of one target that it shares with others.
+
+use std::time;
+
+use yucca_own::site::target;
+
+use crate::estimate;
+
+/// The first pause after a target could not be reached.
+const FIRST_PAUSE: time::Duration = time::Duration::from_millis(400);
+
+/// The longest pause.
+const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(5);
+
+/// The service time that is presumed where nothing is known yet.
+pub const PRESUMED_TIME: time::Duration = time::Duration::from_millis(150);
+
+/// What is told of a target when it becomes known or changes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Facts {
+    /// The target.
+    pub number: target::Number,
+    /// Whether it is in this host's failure domain.
+    pub near: bool,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// Whether it takes new work.
+    pub open: bool,
+}
+
+/// A target as this host sees it.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// What was told of it.
+    pub facts: Facts,
+    /// The requests that this host has sent and that are not answered.
+    pub own: u32,
+    /// The same, of the other hosts, as they last said.
+    pub others: u32,
+    /// Until when it gets no request after failures.
+    pub paused_until: time::Duration,
+    failures: u32,
+    times: estimate::Estimate,
+}
+
+impl Target {
+    /// Returns a target of which nothing more is known.
+    pub fn new(facts: Facts) -> Self {
+        Self {
+            facts,
+            own: 0,
+            others: 0,
+            paused_until: time::Duration::ZERO,
+            failures: 0,
+            times: estimate::Estimate::default(),
+        }
+    }
+
+    /// Returns the requests that the target has, as far as is known.
+    pub fn load(&self) -> u32 {
+        self.own + self.others
+    }
+
+    /// Tells whether it may get a request.
+    pub fn is_usable(&self, now: time::Duration) -> bool {
+        self.facts.open && now >= self.paused_until
+    }
+
+    /// Returns how long it takes for a request, once it has a slot.
+    pub fn time(&self) -> time::Duration {
+        self.times.mean().unwrap_or(PRESUMED_TIME)
+    }
+
+    /// Returns how long a further request would take.
+    pub fn expected(&self) -> time::Duration {
+        let slots = self.facts.slots.max(1);
+        let ahead = (self.load() + 1).saturating_sub(slots);
+        let time = self.time();
+        time + time * ahead / slots
+    }
+
+    /// Takes in that a request was answered.
+    pub fn answered(&mut self, took: time::Duration) {
+        self.failures = 0;
+        self.paused_until = time::Duration::ZERO;
+        // A wait at the target is no part of its speed.
+        if self.load() <= self.facts.slots {
+            self.times.sample(took);
+        }
+    }
+
+    /// Takes in that it could not be reached, or fell silent, and pauses it for longer each time.
+    pub fn failed(&mut self, now: time::Duration) {
+        let pause = FIRST_PAUSE * 2u32.saturating_pow(self.failures.min(8));
+        self.failures = self.failures.saturating_add(1);
+        self.paused_until = now + pause.min(LONGEST_PAUSE);
+    }
+}
--- /dev/null
+++ b/crates/yucca-own/src/site/delta.rs
@@ -0,0 +1,108 @@
+//! What changed since a version, for hosts that follow the state without taking part in the log.
+
+use serde::{Deserialize, Serialize};
+use yucca_wire::id;
+
+use crate::site::{State, item, range, target};
+
+/// The owners of one service's keys that changed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ranges {
+    /// The service.
+    pub service: item::Name,
+    /// Into how many stripes its keys are cut.
+    pub count: u32,
+    /// Stripes with their owner and token.
+    pub stripes: Vec<(u32, target::Number, range::Token)>,
+}
+
+/// All that changed between two versions.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Delta {
+    /// The version that the receiver must have at least.
+    pub from: id::Version,
+    /// The version that it has afterwards.
+    pub to: id::Version,
+    /// Items, without the operator's text.
+    pub items: Vec<(item::Key, item::Revision, Option<item::Body>)>,
+    /// Targets.
+    pub targets: Vec<(target::Number, target::Target)>,
+    /// Owners of keys.
+    pub ranges: Vec<Ranges>,
+}
+
+impl State {
+    /// Returns what changed since a version.
+    pub fn delta(&self, from: id::Version) -> Delta {
+        let items = self.items.iter().filter(|(_, kept)| kept.changed > from);
+        let targets = self.targets.iter().filter(|kept| kept.changed > from);
+        Delta {
+            from,
+            to: self.version,
+            items: items
+                .map(|(key, kept)| (key.clone(), kept.revision, kept.body.clone()))
+                .collect(),
+            targets: targets
+                .map(|kept| (kept.number, kept.target.clone()))
+                .collect(),
+            ranges: self
+                .ranges
+                .iter()
+                .filter_map(|(service, map)| ranges_since(service, map, from))
+                .collect(),
+        }
+    }
+
+    /// Takes in what changed, where it fits; tells whether it did.
+    pub fn follow(&mut self, delta: Delta) -> bool {
+        if delta.from > self.version || delta.to <= self.version {
+            return false;
+        }
+        let changed = delta.to;
+        for (key, revision, body) in delta.items {
+            let kept = item::Kept {
+                revision,
+                body,
+                source: bytes::Bytes::new(),
+                changed,
+            };
+            self.items.adopt(key, kept);
+        }
+        for (number, target) in delta.targets {
+            self.targets.adopt(target::Kept {
+                target,
+                number,
+                changed,
+            });
+        }
+        for ranges in delta.ranges {
+            let map = self.ranges.entry(ranges.service);
+            let map = map.or_insert_with(|| range::Map::new(ranges.count));
+            for (number, owner, token) in ranges.stripes {
+                let owner = Some(owner);
+                map.adopt(
+                    number,
+                    range::Stripe {
+                        owner,
+                        token,
+                        changed,
+                    },
+                );
+            }
+        }
+        self.version = delta.to;
+        true
+    }
+}
+
+fn ranges_since(service: &item::Name, map: &range::Map, from: id::Version) -> Option<Ranges> {
+    let changed = map.iter().filter(|(_, stripe)| stripe.changed > from);
+    let stripes: Vec<_> = changed
+        .filter_map(|(number, stripe)| Some((number, stripe.owner?, stripe.token)))
+        .collect();
+    (!stripes.is_empty()).then(|| Ranges {
+        service: service.clone(),
+        count: map.count(),
+        stripes,
+    })
+}
--- /dev/null
+++ b/crates/yucca-own/src/site/lease.rs
@@ -0,0 +1,438 @@
+//! Leases of keys, as the leader of the log keeps them in memory.
+//!
+//! A target holds keys until its lease ends; each answer to a heartbeat renews it. A stripe may get
+//! another owner only when the present one surely holds it no more: it said so, its lease has ended
+//! on the slowest clock allowed, or another life of it is known. A new leader does not know the
+//! renewals of the one before, so it takes every lease as renewed in the moment of its election.
+
+use std::ops;
+use std::time;
+
+use indexmap::{IndexMap, IndexSet};
+use xxhash_rust::xxh3;
+
+use crate::site::{State, item, range, target};
+
+/// How much slower than ours a target's clock may run, in percent.
+const CLOCK_DRIFT_PERCENT: u32 = 2;
+
+/// Added to the end of a lease for timers that fire late.
+const EXPIRY_MARGIN: time::Duration = time::Duration::from_millis(60);
+
+/// The most rows in one answer; 20 bytes each, so that an answer stays under 4 KiB.
+const MAX_ROWS: u32 = 180;
+
+/// Up to so many stripes a target's claim needs no merging of neighbours to stay under the limit.
+const SCATTERED_STRIPES: u32 = 128;
+
+/// A target gives stripes away when it has more than its share by this part of it.
+const SURPLUS_DIVISOR: u32 = 10;
+
+/// How the book decides.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Config {
+    /// How long a renewal lasts.
+    pub hold: time::Duration,
+    /// A target that was silent for longer gets no further keys.
+    pub silence: time::Duration,
+    /// How long the first sharing out of a service waits for further targets.
+    pub settle: time::Duration,
+}
+
+impl Config {
+    /// Returns the time after a renewal at which its lease has ended on any clock.
+    pub fn expiry(&self) -> time::Duration {
+        self.hold + self.hold * CLOCK_DRIFT_PERCENT / 100 + EXPIRY_MARGIN
+    }
+}
+
+/// Keys that a target says it has released, and the mark that hands them over warm.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Release {
+    /// The keys.
+    pub keys: ops::RangeInclusive<u16>,
+    /// The mark for the next owner.
+    pub handover: String,
+}
+
+/// What a heartbeat says of keys.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Beat {
+    /// Rises with each heartbeat of a life.
+    pub sequence: u64,
+    /// The keys that the target holds or still works on.
+    pub holds: Vec<(ops::RangeInclusive<u16>, range::Token)>,
+    /// The keys that it has released since the last acknowledged heartbeat.
+    pub released: Vec<Release>,
+}
+
+/// Keys that a target may hold.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Grant {
+    /// The keys.
+    pub keys: ops::RangeInclusive<u16>,
+    /// The fencing token.
+    pub token: range::Token,
+    /// The mark of the owner before, where it released them.
+    pub handover: Option<String>,
+}
+
+/// What the leader knows of one target.
+#[derive(Debug, Clone, Default)]
+struct Holder {
+    heard: time::Duration,
+    sequence: u64,
+    /// When its last renewal has surely ended.
+    expires: time::Duration,
+    /// Stripes that are no longer renewed, with the heartbeat whose answer left them out.
+    leaving: IndexMap<u32, u64>,
+    /// Stripes of `leaving` that it said it no longer holds.
+    released: IndexSet<u32>,
+}
+
+/// The leases that one leader gives.
+#[derive(Debug, Clone)]
+pub struct Book {
+    config: Config,
+    since: time::Duration,
+    holders: IndexMap<target::Number, Holder>,
+    handovers: IndexMap<(item::Name, u32), String>,
+    /// Stripes that are about to get another owner, with the one they have. They are not renewed.
+    changing: IndexMap<(item::Name, u32), Option<target::Number>>,
+    /// When the first target of a service was heard.
+    first: IndexMap<item::Name, time::Duration>,
+}
+
+impl Book {
+    /// Returns the book of a leader elected at `since`.
+    pub fn new(config: Config, since: time::Duration) -> Self {
+        Self {
+            config,
+            since,
+            holders: IndexMap::new(),
+            handovers: IndexMap::new(),
+            changing: IndexMap::new(),
+            first: IndexMap::new(),
+        }
+    }
+
+    /// Returns the settings.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Notes that a target of a service was heard, whether or not the service is divided by key.
+    pub fn note(&mut self, number: target::Number, service: &item::Name, now: time::Duration) {
+        self.first.entry(service.clone()).or_insert(now);
+        self.holder(number).heard = now;
+    }
+
+    /// Takes in what a heartbeat says of keys. Returns false for one that is older than another
+    /// that was heard, which must be answered without any grant.
+    pub fn hear(&mut self, state: &State, kept: &target::Kept, beat: &Beat) -> bool {
+        let Some(map) = state.ranges.get(&kept.target.service) else {
+            return self.advance(kept.number, beat.sequence);
+        };
+        if !self.advance(kept.number, beat.sequence) {
+            return false;
+        }
+        for release in &beat.released {
+            for stripe in map.within(release.keys.clone()) {
+                let key = (kept.target.service.clone(), stripe);
+                self.handovers.insert(key, release.handover.clone());
+            }
+        }
+        let held: IndexSet<u32> = beat
+            .holds
+            .iter()
+            .flat_map(|(keys, _)| map.touching(keys.clone()))
+            .collect();
+        self.forget_used_handovers(kept, map, beat);
+        let holder = self.holder(kept.number);
+        for (stripe, since) in &holder.leaving {
+            if *since < beat.sequence && !held.contains(stripe) {
+                holder.released.insert(*stripe);
+            }
+        }
+        true
+    }
+
+    /// Returns the stripes that a target should get now, to be agreed on before they are granted.
+    /// [`Book::settle`] must be told when that is over.
+    pub fn claim(
+        &mut self,
+        state: &State,
+        kept: &target::Kept,
+        now: time::Duration,
+    ) -> Option<range::Assignment> {
+        let service = &kept.target.service;
+        if kept.target.phase != target::Phase::Ready {
+            return None;
+        }
+        let eligible = self.eligible(state, service, now);
+        let shared_out = state.ranges.get(service);
+        let first = self.first.get(service).copied().unwrap_or(now);
+        if shared_out.is_none() && now < first + self.config.settle {
+            return None;
+        }
+        let fresh;
+        let map = match shared_out {
+            Some(map) => map,
+            None => {
+                fresh = range::Map::new(range::stripe_count(eligible.len()));
+                &fresh
+            }
+        };
+        let quota = quota(map, &eligible, kept);
+        let owned = self.kept_stripes(service, map, kept.number).count() as u32;
+        let free = map
+            .iter()
+            .filter(|(number, _)| !self.changing.contains_key(&(service.clone(), *number)))
+            .filter(|(number, stripe)| self.is_free(state, *number, stripe, kept.number, now));
+        let mut free: Vec<(u32, range::Token)> = free
+            .map(|(number, stripe)| (number, stripe.token))
+            .collect();
+        let group = quota.div_ceil(SCATTERED_STRIPES).next_power_of_two();
+        free.sort_by_key(|(number, _)| (scatter(*number / group), *number));
+        free.truncate(quota.saturating_sub(owned) as usize);
+        let count = map.count();
+        let owners: Vec<Option<target::Number>> = free
+            .iter()
+            .map(|(number, _)| map.get(*number).and_then(|stripe| stripe.owner))
+            .collect();
+        for ((number, _), owner) in free.iter().zip(owners) {
+            self.changing.insert((service.clone(), *number), owner);
+        }
+        (!free.is_empty()).then(|| range::Assignment {
+            service: service.clone(),
+            count,
+            owner: kept.number,
+            stripes: free,
+        })
+    }
+
+    /// Notes that a claim was agreed on, or surely was not. Where that is not known, leadership is
+    /// lost and so is this book.
+    pub fn settle(&mut self, claim: &range::Assignment, agreed: bool) {
+        for (number, _) in &claim.stripes {
+            let key = (claim.service.clone(), *number);
+            let owner = self.changing.swap_remove(&key).flatten();
+            let Some(holder) = owner.and_then(|owner| self.holders.get_mut(&owner)) else {
+                continue;
+            };
+            if agreed {
+                holder.leaving.swap_remove(number);
+                holder.released.swap_remove(number);
+            }
+        }
+    }
+
+    /// Renews what a target may keep and returns it. Call it only after a quorum has confirmed,
+    /// since the heartbeat came, that this leader leads.
+    pub fn renew(&mut self, state: &State, kept: &target::Kept, now: time::Duration) -> Vec<Grant> {
+        let expires = now + self.config.expiry();
+        self.shed(state, kept, now);
+        let holder = self.holder(kept.number);
+        holder.expires = expires;
+        let service = &kept.target.service;
+        let Some(map) = state.ranges.get(service) else {
+            return Vec::new();
+        };
+        let mut rows: Vec<Grant> = Vec::new();
+        for stripe in self.kept_stripes(service, map, kept.number) {
+            let token = map.get(stripe).map(|s| s.token).unwrap_or_default();
+            let handover = self.handovers.get(&(service.clone(), stripe)).cloned();
+            push_row(
+                &mut rows,
+                Grant {
+                    keys: map.keys(stripe),
+                    token,
+                    handover,
+                },
+            );
+        }
+        rows
+    }
+
+    /// Decides which stripes a target is to give away, and stops renewing them.
+    fn shed(&mut self, state: &State, kept: &target::Kept, now: time::Duration) {
+        let Some(map) = state.ranges.get(&kept.target.service) else {
+            return;
+        };
+        let mut owned: Vec<u32> = self
+            .kept_stripes(&kept.target.service, map, kept.number)
+            .collect();
+        let surplus = if kept.target.phase == target::Phase::Ready {
+            self.surplus(state, map, kept, owned.len() as u32, now)
+        } else {
+            owned.len()
+        };
+        owned.sort_by_key(|stripe| scatter(*stripe));
+        let holder = self.holder(kept.number);
+        let sequence = holder.sequence;
+        for stripe in owned.into_iter().rev().take(surplus) {
+            holder.leaving.insert(stripe, sequence);
+        }
+    }
+
+    /// Returns how many stripes a target has to give, where another one lacks some.
+    fn surplus(
+        &self,
+        state: &State,
+        map: &range::Map,
+        kept: &target::Kept,
+        owned: u32,
+        now: time::Duration,
+    ) -> usize {
+        // Right after an election a release can't be told from an old heartbeat.
+        if now < self.since + self.config.expiry() {
+            return 0;
+        }
+        let eligible = self.eligible(state, &kept.target.service, now);
+        let quota = quota(map, &eligible, kept);
+        if owned <= quota + quota / SURPLUS_DIVISOR {
+            return 0;
+        }
+        let poor = eligible.iter().any(|other| {
+            let has = self.owned_stripes(map, other.number);
+            has + has / SURPLUS_DIVISOR < quota
+        });
+        if poor { (owned - quota) as usize } else { 0 }
+    }
+
+    fn holder(&mut self, number: target::Number) -> &mut Holder {
+        let expires = self.since + self.config.expiry();
+        self.holders.entry(number).or_insert_with(|| Holder {
+            expires,
+            ..Holder::default()
+        })
+    }
+
+    fn advance(&mut self, number: target::Number, sequence: u64) -> bool {
+        let holder = self.holder(number);
+        let newer = holder.sequence < sequence;
+        if newer {
+            holder.sequence = sequence;
+        }
+        newer
+    }
+
+    /// A handover is repeated until the new owner is seen to hold the keys.
+    fn forget_used_handovers(&mut self, kept: &target::Kept, map: &range::Map, beat: &Beat) {
+        for (keys, token) in &beat.holds {
+            for number in map.within(keys.clone()) {
+                let stripe = map.get(number);
+                if stripe.is_some_and(|s| s.owner == Some(kept.number) && s.token == *token) {
+                    self.handovers
+                        .swap_remove(&(kept.target.service.clone(), number));
+                }
+            }
+        }
+    }
+
+    /// Returns the stripes that a target owns and is to keep.
+    fn kept_stripes<'a>(
+        &'a self,
+        service: &'a item::Name,
+        map: &'a range::Map,
+        number: target::Number,
+    ) -> impl Iterator<Item = u32> + 'a {
+        let holder = self.holders.get(&number);
+        map.iter()
+            .filter(move |(_, stripe)| stripe.owner == Some(number))
+            .map(|(stripe, _)| stripe)
+            .filter(move |stripe| holder.is_none_or(|h| !h.leaving.contains_key(stripe)))
+            .filter(move |stripe| {
+                self.changing.is_empty() || !self.changing.contains_key(&(service.clone(), *stripe))
+            })
+    }
+
+    fn owned_stripes(&self, map: &range::Map, number: target::Number) -> u32 {
+        map.iter()
+            .filter(|(_, stripe)| stripe.owner == Some(number))
+            .count() as u32
+    }
+
+    /// Tells whether a stripe may be given to a target that does not own it.
+    fn is_free(
+        &self,
+        state: &State,
+        number: u32,
+        stripe: &range::Stripe,
+        to: target::Number,
+        now: time::Duration,
+    ) -> bool {
+        let Some(owner) = stripe.owner else {
+            return true;
+        };
+        let ended = state
+            .targets
+            .get(owner)
+            .is_none_or(|kept| kept.target.phase == target::Phase::Gone);
+        if ended {
+            return true;
+        }
+        match self.holders.get(&owner) {
+            // What the target itself has given back is given anew, under another token.
+            Some(holder) if owner == to => holder.released.contains(&number),
+            None if owner == to => false,
+            Some(holder) => now >= holder.expires || holder.released.contains(&number),
+            None => now >= self.since + self.config.expiry(),
+        }
+    }
+
+    /// Returns the targets of a service that may get keys.
+    fn eligible<'a>(
+        &self,
+        state: &'a State,
+        service: &item::Name,
+        now: time::Duration,
+    ) -> Vec<&'a target::Kept> {
+        let all = state.targets.iter();
+        all.filter(|kept| kept.target.service == *service)
+            .filter(|kept| kept.target.phase == target::Phase::Ready)
+            .filter(|kept| {
+                let heard = self
+                    .holders
+                    .get(&kept.number)
+                    .map_or(self.since, |h| h.heard);
+                now < heard + self.config.silence
+            })
+            .collect()
+    }
+}
+
+/// Returns how many stripes a target should have, by its slots.
+fn quota(map: &range::Map, eligible: &[&target::Kept], kept: &target::Kept) -> u32 {
+    let own = u64::from(kept.target.slots.max(1));
+    let others = eligible.iter().filter(|other| other.number != kept.number);
+    let all: u64 = own
+        + others
+            .map(|other| u64::from(other.target.slots.max(1)))
+            .sum::<u64>();
+    let quota = (u64::from(map.count()) * own).div_ceil(all);
+    // Neighbouring stripes merge into rows, so a larger share still fits where few targets are left.
+    let scattered = u64::from(MAX_ROWS);
+    if eligible.len() > 2 {
+        quota.min(scattered.max(u64::from(map.count()) / 3)) as u32
+    } else {
+        quota as u32
+    }
+}
+
+/// Orders stripes so that neighbours are far apart.
+fn scatter(number: u32) -> u64 {
+    xxh3::xxh3_64(&number.to_le_bytes())
+}
+
+/// Adds keys, merged with the row before where they follow on it.
+fn push_row(rows: &mut Vec<Grant>, grant: Grant) {
+    if let Some(last) = rows.last_mut() {
+        let follows = last.keys.end().checked_add(1) == Some(*grant.keys.start());
+        if follows && last.token == grant.token && last.handover == grant.handover {
+            last.keys = *last.keys.start()..=*grant.keys.end();
+            return;
+        }
+    }
+    rows.push(grant);
+}
--- /dev/null
+++ b/crates/yucca-own/src/site/target.rs
@@ -0,0 +1,212 @@
+//! The targets that have announced themselves.
+
+use std::fmt;
+use std::net;
+
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use yucca_wire::id;
+
+use crate::site::item;
+
+/// One life of a target: a restart under the same name is another life.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Life {
+    /// The name that the target gives itself.
+    pub name: item::Name,
+    /// When the life began, as the target tells; a later life has a greater number.
+    pub born: u64,
+}
+
+impl fmt::Display for Life {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}@{}", self.name, self.born)
+    }
+}
+
+/// The number of a life, given once and never again.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct Number(pub u32);
+
+impl fmt::Display for Number {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "t{}", self.0)
+    }
+}
+
+/// What a target is up to. It only goes forward.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Phase {
+    /// Takes work.
+    Ready,
+    /// Takes no new work.
+    Draining,
+    /// Has said that it leaves. It may still work and hold keys for a while.
+    Left,
+    /// Has surely ended: another life or another target has its place.
+    Gone,
+}
+
+impl fmt::Display for Phase {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::Ready => "ready",
+            Self::Draining => "draining",
+            Self::Left => "left",
+            Self::Gone => "gone",
+        })
+    }
+}
+
+/// What a target says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Target {
+    /// Which life of which target.
+    pub life: Life,
+    /// The service that it serves.
+    pub service: item::Name,
+    /// Where it takes work.
+    pub address: net::SocketAddr,
+    /// Its failure domain.
+    pub domain: item::Name,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// What it is up to.
+    pub phase: Phase,
+}
+
+/// A target that is kept.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
+    /// What it says of itself.
+    pub target: Target,
+    /// Its number.
+    pub number: Number,
+    /// The version of the state at which it changed.
+    pub changed: id::Version,
+}
+
+/// All targets, in the order in which they came.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Book {
+    kept: IndexMap<Number, Kept>,
+    numbers: IndexMap<item::Name, Number>,
+    next: u32,
+}
+
+impl Book {
+    /// Returns all targets.
+    pub fn iter(&self) -> impl Iterator<Item = &Kept> {
+        self.kept.values()
+    }
+
+    /// Returns a target by its number.
+    pub fn get(&self, number: Number) -> Option<&Kept> {
+        self.kept.get(&number)
+    }
+
+    /// Returns the latest life of a target by its name.
+    pub fn latest(&self, name: &item::Name) -> Option<&Kept> {
+        self.kept.get(self.numbers.get(name)?)
+    }
+
+    /// Returns the target of exactly this life.
+    pub fn life(&self, life: &Life) -> Option<&Kept> {
+        self.latest(&life.name)
+            .filter(|kept| kept.target.life == *life)
+    }
+
+    /// Tells whether the state would change by an announcement.
+    pub fn is_news(&self, target: &Target) -> bool {
+        match self.latest(&target.life.name) {
+            None => !self.is_succeeded(target),
+            Some(kept) if kept.target.life.born > target.life.born => false,
+            Some(kept) if kept.target.life.born < target.life.born => !self.is_succeeded(target),
+            Some(kept) => {
+                let mut next = target.clone();
+                next.phase = next.phase.max(kept.target.phase);
+                next != kept.target
+            }
+        }
+    }
+
+    /// Takes an announcement. One of an earlier life, or of a target whose address another one has
+    /// got since, changes nothing.
+    pub fn announce(&mut self, version: id::Version, mut target: Target) {
+        if !self.is_news(&target) {
+            return;
+        }
+        if let Some(kept) = self.life(&target.life) {
+            target.phase = target.phase.max(kept.target.phase);
+            let number = kept.number;
+            self.put(version, number, target);
+            return;
+        }
+        self.bury_predecessors(version, &target);
+        let number = Number(self.next);
+        self.next += 1;
+        self.numbers.insert(target.life.name.clone(), number);
+        self.put(version, number, target);
+    }
+
+    /// Takes a target's word that it leaves.
+    pub fn leave(&mut self, version: id::Version, life: &Life) {
+        if let Some(kept) = self.life(life) {
+            let number = kept.number;
+            self.advance(version, number, Phase::Left);
+        }
+    }
+
+    /// Takes a target as it is kept elsewhere.
+    pub fn adopt(&mut self, kept: Kept) {
+        self.next = self.next.max(kept.number.0 + 1);
+        self.numbers
+            .insert(kept.target.life.name.clone(), kept.number);
+        self.kept.insert(kept.number, kept);
+    }
+
+    fn put(&mut self, version: id::Version, number: Number, target: Target) {
+        let kept = Kept {
+            target,
+            number,
+            changed: version,
+        };
+        self.kept.insert(number, kept);
+    }
+
+    /// Tells whether a younger target is known at the address.
+    fn is_succeeded(&self, target: &Target) -> bool {
+        self.kept.values().any(|kept| {
+            kept.target.address == target.address && kept.target.life.born > target.life.born
+        })
+    }
+
+    /// An earlier life, and an earlier target at the same address, have surely ended.
+    fn bury_predecessors(&mut self, version: id::Version, target: &Target) {
+        let ended: Vec<Number> = self
+            .kept
+            .values()
+            .filter(|kept| {
+                let same = kept.target.life.name == target.life.name
+                    || kept.target.address == target.address;
+                same && kept.target.life.born < target.life.born
+            })
+            .map(|kept| kept.number)
+            .collect();
+        for number in ended {
+            self.advance(version, number, Phase::Gone);
+        }
+    }
+
+    fn advance(&mut self, version: id::Version, number: Number, phase: Phase) {
+        if let Some(kept) = self.kept.get_mut(&number)
+            && kept.target.phase < phase
+        {
+            kept.target.phase = phase;
+            kept.changed = version;
+        }
+    }
+}
