Shared targets: rests after refusals, denials that wait longer, a budget shared by the most hosts seen

A keyed request that its owner refused was sent again each millisecond, and a host that was cut from control saw no other hosts and took the whole of what is allowed beyond the ratio. Ruled out: uncounted sends (each send after the first is counted).

--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -4,6 +4,7 @@
 mod exchange;
 mod follow;
 mod gossip;
+mod peak;
 mod pool;
 mod request;
 mod view;
@@ -57,6 +58,8 @@
     /// Whether the newest state was seen.
     synced: watch::Sender<bool>,
     stopping: watch::Sender<bool>,
+    /// The most entry hosts that were seen lately, this one included.
+    hosts: sync::Mutex<peak::Peak>,
     /// The other entry hosts.
     peers: ArcSwap<Vec<gossip::Peer>>,
 }
@@ -109,6 +112,7 @@
             pool: pool::Pool::default(),
             synced: watch::Sender::new(false),
             stopping: watch::Sender::new(false),
+            hosts: sync::Mutex::default(),
             peers: ArcSwap::default(),
         });
         let (stop, stopped) = watch::channel(false);
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -10,6 +10,7 @@
 use yucca_own::site::{self, delta, item, target};
 use yucca_wire::id;
 
+use crate::control::lock;
 use crate::entry::{Core, gossip, view};
 use crate::mesh::{link, message};
 
@@ -210,6 +211,7 @@
                 near: *domain == self.core.settings.domain,
             })
             .collect();
+        lock(&self.core.hosts).note(peers.len() + 1, self.core.clock.now());
         if peers != **self.core.peers.load() {
             self.core.peers.store(sync::Arc::new(peers));
         }
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -12,6 +12,7 @@
 use yucca_lane::shared::service;
 use yucca_own::site::{item, range, target as site};
 
+use crate::control::lock;
 use crate::dialect::{caller, target};
 use crate::entry::{Core, exchange, view};
 use crate::server;
@@ -241,8 +242,9 @@
     }
 
     fn may_repeat(&self, job: &Job) -> bool {
-        let hosts = self.peers.load().len() + 1;
-        self.desk.repeat(&job.service, hosts, self.clock.now())
+        let now = self.clock.now();
+        let hosts = lock(&self.hosts).note(self.peers.load().len() + 1, now);
+        self.desk.repeat(&job.service, hosts, now)
     }
 
     /// Returns the refusal of a request that has not run, unless an earlier attempt may have.
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -10,8 +10,14 @@
 /// How many requests a target may have beyond its slots. They hide the way to it and back.
 const DEPTH: u32 = 1;
 
-/// How long a stripe waits after its owner said that it does not hold it.
-const DENIED_PAUSE: time::Duration = time::Duration::from_millis(100);
+/// How long a stripe waits after its owner said that it does not hold it; the wait doubles each time.
+const DENIED_PAUSE: time::Duration = time::Duration::from_millis(60);
+
+/// How often the wait doubles at the most.
+const DENIED_DOUBLINGS: u32 = 3;
+
+/// How long it is remembered that a stripe was denied before.
+const DENIED_MEMORY: time::Duration = time::Duration::from_secs(1);
 
 /// The part of the time left after which a refused caller should return.
 const RETURN_SHARE: u32 = 3;
@@ -74,6 +80,14 @@
     Dropped,
 }
 
+/// A stripe that its owner denied to hold.
+#[derive(Debug, Clone, Copy)]
+struct Denial {
+    token: range::Token,
+    times: u32,
+    until: time::Duration,
+}
+
 /// One service at this host.
 #[derive(Debug, Clone, Default)]
 pub struct Service {
@@ -82,8 +96,8 @@
     keyed: bool,
     /// The owners of the keys, once they are shared out.
     map: Option<range::Map>,
-    /// Stripes that their owner denied to hold under a token, and until when they wait.
-    denied: IndexMap<u32, (range::Token, time::Duration)>,
+    /// Stripes that their owner denied to hold.
+    denied: IndexMap<u32, Denial>,
     waiting: IndexMap<u64, Request>,
 }
 
@@ -158,21 +172,38 @@
             match outcome {
                 Outcome::Answered(took) => target.answered(took),
                 Outcome::Failed => target.failed(now),
-                Outcome::Shed | Outcome::Denied { .. } | Outcome::Dropped => {}
+                Outcome::Shed => target.refused(now),
+                Outcome::Denied { .. } | Outcome::Dropped => {}
             }
             target.own = target.own.saturating_sub(1);
         }
         if let (Outcome::Denied { key, token }, Some(map)) = (outcome, &self.map) {
-            let until = now + DENIED_PAUSE;
-            self.denied.insert(map.stripe_of(key), (token, until));
+            let stripe = map.stripe_of(key);
+            self.deny(stripe, token, now);
         }
         self.dispatch(now)
     }
 
+    fn deny(&mut self, stripe: u32, token: range::Token, now: time::Duration) {
+        let known = self.denied.get(&stripe);
+        let known = known.filter(|known| known.token == token);
+        if known.is_some_and(|known| known.until > now) {
+            return;
+        }
+        let times = known.map_or(0, |known| known.times + 1);
+        let pause = DENIED_PAUSE * 2u32.pow(times.min(DENIED_DOUBLINGS));
+        let denial = Denial {
+            token,
+            times,
+            until: now + pause,
+        };
+        self.denied.insert(stripe, denial);
+    }
+
     /// Returns the time at which [`Service::dispatch`] has something to do by itself.
     pub fn next_wake(&self, now: time::Duration) -> Option<time::Duration> {
         let limits = self.waiting.values().map(|request| request.limit_at);
-        let denied = self.denied.values().map(|(_, until)| *until);
+        let denied = self.denied.values().map(|denial| denial.until);
         let paused = self.targets.values().map(|target| target.paused_until);
         let waits = !self.waiting.is_empty();
         let all = limits.chain(denied).chain(paused);
@@ -181,7 +212,8 @@
 
     /// Sends what can be sent and refuses what can't be served any more.
     pub fn dispatch(&mut self, now: time::Duration) -> Vec<Decision> {
-        self.denied.retain(|_, (_, until)| *until > now);
+        self.denied
+            .retain(|_, denial| denial.until + DENIED_MEMORY > now);
         let mut order: Vec<(bool, u8, time::Duration, u64)> = self
             .waiting
             .values()
@@ -246,11 +278,8 @@
     ) -> Option<(site::Number, Option<range::Token>)> {
         let number = map.stripe_of(key);
         let stripe = map.get(number)?;
-        if self
-            .denied
-            .get(&number)
-            .is_some_and(|(token, _)| *token == stripe.token)
-        {
+        let denied = self.denied.get(&number);
+        if denied.is_some_and(|denial| denial.token == stripe.token && denial.until > now) {
             return None;
         }
         let owner = stripe.owner?;
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -12,6 +12,12 @@
 /// The longest pause.
 const LONGEST_PAUSE: time::Duration = time::Duration::from_secs(5);
 
+/// The shortest pause after a target had no room, where a slot would be free even sooner.
+const SHORTEST_REST: time::Duration = time::Duration::from_millis(25);
+
+/// The longest such pause.
+const LONGEST_REST: time::Duration = time::Duration::from_millis(300);
+
 /// The service time that is presumed where nothing is known yet.
 pub const PRESUMED_TIME: time::Duration = time::Duration::from_millis(150);
 
@@ -40,6 +46,7 @@
     /// Until when it gets no request after failures.
     pub paused_until: time::Duration,
     failures: u32,
+    refusals: u32,
     times: estimate::Estimate,
 }
 
@@ -52,6 +59,7 @@
             others: 0,
             paused_until: time::Duration::ZERO,
             failures: 0,
+            refusals: 0,
             times: estimate::Estimate::default(),
         }
     }
@@ -82,6 +90,7 @@
     /// Takes in that a request was answered.
     pub fn answered(&mut self, took: time::Duration) {
         self.failures = 0;
+        self.refusals = 0;
         self.paused_until = time::Duration::ZERO;
         // A wait at the target is no part of its speed.
         if self.load() <= self.facts.slots {
@@ -89,6 +98,14 @@
         }
     }
 
+    /// Takes in that it had no room, and pauses it until a slot should be free; for longer each time.
+    pub fn refused(&mut self, now: time::Duration) {
+        let rest = self.time() / self.facts.slots.max(1);
+        let rest = rest.max(SHORTEST_REST) * 2u32.saturating_pow(self.refusals.min(3));
+        self.refusals = self.refusals.saturating_add(1);
+        self.paused_until = self.paused_until.max(now + rest.min(LONGEST_REST));
+    }
+
     /// Takes in that it could not be reached, or fell silent, and pauses it for longer each time.
     pub fn failed(&mut self, now: time::Duration) {
         let pause = FIRST_PAUSE * 2u32.saturating_pow(self.failures.min(8));
