--- a/crates/yucca-fleet/src/control/follower.rs
+++ b/crates/yucca-fleet/src/control/follower.rs
@@ -14,8 +14,8 @@
 /// How often followers are told of a version that does not change.
 const NOTICE_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
 
-/// How long versions are gathered before followers are told of the newest.
-const GATHER: time::Duration = time::Duration::from_millis(5);
+/// How long versions are gathered before followers are told of the newest, for each follower.
+const GATHER: time::Duration = time::Duration::from_millis(1);
 
 /// Who is connected to this process.
 #[derive(Debug)]
@@ -110,7 +110,8 @@
             if matches!(changed, Ok(Err(_))) {
                 return;
             }
-            tokio::time::sleep(GATHER).await;
+            let followers = lock(&self.followers).len();
+            tokio::time::sleep(GATHER * followers as u32).await;
             standing.mark_unchanged();
             self.tell();
         }
--- a/crates/yucca-fleet/src/entry/desk.rs
+++ b/crates/yucca-fleet/src/entry/desk.rs
@@ -53,12 +53,18 @@
         });
     }
 
-    /// Takes in how many requests other hosts have at targets.
-    pub fn set_others(&self, loads: &IndexMap<site::Number, u32>, now: time::Duration) {
+    /// Takes in how many requests other hosts of this domain have at targets. Hosts elsewhere are
+    /// presumed to have `far` times as many as those of this domain.
+    pub fn set_others(
+        &self,
+        loads: &IndexMap<site::Number, u32>,
+        far: f64,
+        now: time::Duration,
+    ) {
         let names: Vec<item::Name> = lock(&self.counters).keys().cloned().collect();
         for name in names {
             self.with(&name, |counter| {
-                counter.service.set_others(loads);
+                counter.service.set_others(loads, far);
                 counter.service.dispatch(now)
             });
         }
--- a/crates/yucca-fleet/src/entry/gossip.rs
+++ b/crates/yucca-fleet/src/entry/gossip.rs
@@ -11,14 +11,17 @@
 use crate::entry::Core;
 use crate::mesh::message;
 
-/// How often a host tells the others of its own domain.
-const NEAR_INTERVAL: time::Duration = time::Duration::from_millis(40);
+/// How often a host looks whether there is something to tell.
+const INTERVAL: time::Duration = time::Duration::from_millis(40);
 
-/// Hosts of other domains are told once in so many times, as bytes between domains are dear.
-const FAR_EVERY: u64 = 5;
+/// The most digests that a host sends in a second. Each costs about 20 us at either end.
+const MAX_RATE: f64 = 120.0;
+
+/// How often what was heard is handed on, at the most.
+const SHARE_INTERVAL: time::Duration = time::Duration::from_millis(20);
 
 /// What a host said is forgotten after this time.
-const EXPIRY: time::Duration = time::Duration::from_millis(700);
+const EXPIRY: time::Duration = time::Duration::from_millis(1_000);
 
 /// The most bytes of a datagram.
 const MAX_BYTES: usize = 8 << 10;
@@ -43,20 +46,26 @@
 pub async fn run(core: sync::Arc<Core>, socket: UdpSocket) {
     let mut heard: IndexMap<net::IpAddr, Heard> = IndexMap::new();
     let mut buffer = vec![0; MAX_BYTES];
-    let mut interval = tokio::time::interval(NEAR_INTERVAL);
+    let mut interval = tokio::time::interval(INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     let mut teller = Teller::default();
+    let mut dirty: Option<tokio::time::Instant> = None;
     loop {
+        let due = dirty;
         tokio::select! {
             _ = interval.tick() => teller.tell(&core, &socket),
+            () = wait(due) => {
+                dirty = None;
+                share(&core, &mut heard);
+            }
             received = socket.recv(&mut buffer) => {
                 let Ok(length) = received else {
                     continue;
                 };
                 match rmp_serde::from_slice::<message::Load>(&buffer[..length]) {
                     Ok(load) => {
-                        if take(&core, &mut heard, load) {
-                            share(&core, &mut heard);
+                        if take(&core, &mut heard, load) && dirty.is_none() {
+                            dirty = Some(tokio::time::Instant::now() + SHARE_INTERVAL);
                         }
                     }
                     Err(error) => log::warn!("load digest unreadable: {error}"),
@@ -66,45 +75,54 @@
     }
 }
 
-/// Tells others of this host's load.
+async fn wait(until: Option<tokio::time::Instant>) {
+    match until {
+        Some(until) => tokio::time::sleep_until(until).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Tells the hosts of its own domain of this host's load. Bytes between domains are dear, so the
+/// load of hosts elsewhere is extrapolated instead.
 #[derive(Default)]
 struct Teller {
     sequence: u64,
-    near: Vec<(target::Number, u32)>,
-    far: Vec<(target::Number, u32)>,
+    told: Vec<(target::Number, u32)>,
+    told_at: time::Duration,
 }
 
 impl Teller {
     fn tell(&mut self, core: &Core, socket: &UdpSocket) {
-        self.sequence += 1;
+        let now = core.clock.now();
+        let peers = core.peers.load();
+        let near = peers.iter().filter(|peer| peer.near).count();
+        let pause = time::Duration::from_secs_f64(near as f64 / MAX_RATE);
+        if now < self.told_at + pause {
+            return;
+        }
         let loads = core.desk.loads();
-        let far = self.sequence.is_multiple_of(FAR_EVERY);
-        let tell_near = loads != self.near || (far && !loads.is_empty());
-        let tell_far = far && (loads != self.far || !loads.is_empty());
-        if !tell_near && !tell_far {
+        let again = !loads.is_empty() && now > self.told_at + EXPIRY / 3;
+        if loads == self.told && !again {
             return;
         }
+        self.sequence += 1;
+        self.told_at = now;
         let load = message::Load {
             sequence: self.sequence,
             ip: core.settings.ip,
             loads,
         };
-        let Ok(datagram) = rmp_serde::to_vec(&load) else {
-            return;
-        };
-        for peer in core.peers.load().iter() {
-            if (peer.near && tell_near) || (!peer.near && tell_far) {
-                let address = core.settings.mesh_of(peer.ip);
-                // A digest that can't be sent is as good as one that was lost.
-                socket.try_send_to(&datagram, address).ok();
+        match rmp_serde::to_vec(&load) {
+            Ok(datagram) => {
+                for peer in peers.iter().filter(|peer| peer.near) {
+                    let address = core.settings.mesh_of(peer.ip);
+                    // A digest that can't be sent is as good as one that was lost.
+                    socket.try_send_to(&datagram, address).ok();
+                }
             }
+            Err(error) => log::error!("a load digest has no encoding: {error}"),
         }
-        if tell_near {
-            self.near.clone_from(&load.loads);
-        }
-        if tell_far {
-            self.far = load.loads;
-        }
+        self.told = load.loads;
     }
 }
 
@@ -135,5 +153,8 @@
             *others.entry(*number).or_default() += load;
         }
     }
-    core.desk.set_others(&others, now);
+    let peers = core.peers.load();
+    let far = peers.iter().filter(|peer| !peer.near).count();
+    let known = peers.len() - far + 1;
+    core.desk.set_others(&others, far as f64 / known as f64, now);
 }
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -120,10 +120,16 @@
         self.map = map;
     }
 
-    /// Takes in how many requests other hosts have at the targets.
-    pub fn set_others(&mut self, loads: &IndexMap<site::Number, u32>) {
+    /// Takes in how many requests other hosts of this domain have at the targets. Keys are sent to
+    /// their owner from every domain alike, so hosts elsewhere are presumed to have `far` times as
+    /// many there as those of this domain. Other services are served near where there is room.
+    pub fn set_others(&mut self, loads: &IndexMap<site::Number, u32>, far: f64) {
         for (number, target) in &mut self.targets {
-            target.others = loads.get(number).copied().unwrap_or(0);
+            let near = loads.get(number).copied().unwrap_or(0);
+            target.others = near;
+            if self.keyed {
+                target.others += (f64::from(near + target.own) * far).round() as u32;
+            }
         }
     }
 
--- a/crates/yucca-own/src/site/lease.rs
+++ b/crates/yucca-own/src/site/lease.rs
@@ -185,6 +185,9 @@
         };
         let quota = quota(map, &eligible, kept);
         let owned = self.kept_stripes(service, map, kept.number).count() as u32;
+        if owned >= quota {
+            return None;
+        }
         let free = map
             .iter()
             .filter(|(number, _)| !self.changing.contains_key(&(service.clone(), *number)))
@@ -294,7 +297,7 @@
             return 0;
         }
         let poor = eligible.iter().any(|other| {
-            let has = self.owned_stripes(map, other.number);
+            let has = map.owned_count(other.number);
             has + has / SURPLUS_DIVISOR < quota
         });
         if poor { (owned - quota) as usize } else { 0 }
@@ -338,21 +341,13 @@
         number: target::Number,
     ) -> impl Iterator<Item = u32> + 'a {
         let holder = self.holders.get(&number);
-        map.iter()
-            .filter(move |(_, stripe)| stripe.owner == Some(number))
-            .map(|(stripe, _)| stripe)
+        map.owned(number)
             .filter(move |stripe| holder.is_none_or(|h| !h.leaving.contains_key(stripe)))
             .filter(move |stripe| {
                 self.changing.is_empty() || !self.changing.contains_key(&(service.clone(), *stripe))
             })
     }
 
-    fn owned_stripes(&self, map: &range::Map, number: target::Number) -> u32 {
-        map.iter()
-            .filter(|(_, stripe)| stripe.owner == Some(number))
-            .count() as u32
-    }
-
     /// Tells whether a stripe may be given to a target that does not own it.
     fn is_free(
         &self,
--- a/crates/yucca-own/src/site/range.rs
+++ b/crates/yucca-own/src/site/range.rs
@@ -3,9 +3,11 @@
 //! Keys are 16-bit numbers, cut into stripes of equal width. A stripe has one owner. The stripes
 //! of one owner are scattered, so that a run of busy neighbouring keys falls on many targets.
 
+use std::collections::BTreeSet;
 use std::fmt;
 use std::ops;
 
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use yucca_wire::id;
 
@@ -19,7 +21,7 @@
 
 /// How many stripes there are for each target when a service is first shared out. Heartbeat answers
 /// of 4 KiB have room for about 190 rows, so a third of the targets may be lost.
-const STRIPES_PER_TARGET: u32 = 80;
+const STRIPES_PER_TARGET: u32 = 120;
 
 /// A fencing token. It only rises for each key.
 #[derive(
@@ -61,9 +63,44 @@
 
 /// The stripes of one service.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Kept", into = "Kept")]
 pub struct Map {
     stripes: Vec<Stripe>,
     last: Token,
+    /// The stripes of each owner.
+    owned: IndexMap<target::Number, BTreeSet<u32>>,
+}
+
+/// A map as it is kept: the index of owners follows from the stripes.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Kept {
+    stripes: Vec<Stripe>,
+    last: Token,
+}
+
+impl From<Map> for Kept {
+    fn from(map: Map) -> Self {
+        Self {
+            stripes: map.stripes,
+            last: map.last,
+        }
+    }
+}
+
+impl From<Kept> for Map {
+    fn from(kept: Kept) -> Self {
+        let mut owned: IndexMap<target::Number, BTreeSet<u32>> = IndexMap::new();
+        for (number, stripe) in (0..).zip(&kept.stripes) {
+            if let Some(owner) = stripe.owner {
+                owned.entry(owner).or_default().insert(number);
+            }
+        }
+        Self {
+            stripes: kept.stripes,
+            last: kept.last,
+            owned,
+        }
+    }
 }
 
 /// Returns into how many stripes the keys of a service with so many targets are cut.
@@ -81,6 +118,30 @@
         Self {
             stripes: vec![Stripe::default(); count],
             last: Token(0),
+            owned: IndexMap::new(),
+        }
+    }
+
+    /// Returns the stripes of an owner.
+    pub fn owned(&self, owner: target::Number) -> impl Iterator<Item = u32> + '_ {
+        self.owned.get(&owner).into_iter().flatten().copied()
+    }
+
+    /// Returns how many stripes an owner has.
+    pub fn owned_count(&self, owner: target::Number) -> u32 {
+        self.owned.get(&owner).map_or(0, |owned| owned.len() as u32)
+    }
+
+    fn put(&mut self, number: u32, stripe: Stripe) {
+        let Some(slot) = self.stripes.get_mut(number as usize) else {
+            return;
+        };
+        let before = std::mem::replace(slot, stripe).owner;
+        if let Some(owned) = before.and_then(|owner| self.owned.get_mut(&owner)) {
+            owned.remove(&number);
+        }
+        if let Some(owner) = stripe.owner {
+            self.owned.entry(owner).or_default().insert(number);
         }
     }
 
@@ -133,17 +194,15 @@
         let token = Token(self.last.0 + 1);
         let mut assigned = Vec::new();
         for (number, presumed) in &wanted.stripes {
-            let Some(stripe) = self.stripes.get_mut(*number as usize) else {
-                continue;
-            };
-            if stripe.token != *presumed {
+            if self.get(*number).is_none_or(|stripe| stripe.token != *presumed) {
                 continue;
             }
-            *stripe = Stripe {
+            let stripe = Stripe {
                 owner: Some(wanted.owner),
                 token,
                 changed: version,
             };
+            self.put(*number, stripe);
             assigned.push(*number);
         }
         if !assigned.is_empty() {
@@ -154,10 +213,8 @@
 
     /// Takes a stripe as it is kept elsewhere.
     pub fn adopt(&mut self, number: u32, stripe: Stripe) {
-        if let Some(own) = self.stripes.get_mut(number as usize)
-            && own.token <= stripe.token
-        {
-            *own = stripe;
+        if self.get(number).is_some_and(|own| own.token <= stripe.token) {
+            self.put(number, stripe);
             self.last = self.last.max(stripe.token);
         }
     }
