--- a/crates/yucca-fleet/src/control/announce.rs
+++ b/crates/yucca-fleet/src/control/announce.rs
@@ -134,6 +134,14 @@
         Some(grants)
     }
 
+    /// Takes in what an entry host has measured, if this host leads.
+    pub(super) fn note_report(&self, report: &site::balance::Report) {
+        if self.replica.standing().leads {
+            let now = self.clock.now();
+            self.with_book(|book| book.report(report, now));
+        }
+    }
+
     /// Uses the book of the present term, which starts empty with each term.
     fn with_book<T>(&self, then: impl FnOnce(&mut lease::Book) -> T) -> T {
         let term = self.replica.standing().term.0;
--- a/crates/yucca-fleet/src/control/follower.rs
+++ b/crates/yucca-fleet/src/control/follower.rs
@@ -86,6 +86,7 @@
                 }
             }
             message::Message::Pull { have } => self.answer_pull(id, have),
+            message::Message::Report(report) => self.note_report(&report),
             message::Message::Hello(_)
             | message::Message::Ping
             | message::Message::Notice(_)
@@ -141,8 +142,10 @@
             .collect();
         entries.sort();
         entries.dedup();
+        let leader = standing.leader.as_ref();
         message::Notice {
             version,
+            leader: leader.and_then(|host| host.as_str().parse().ok()),
             current: standing.member && standing.leader.is_some() && version >= standing.commit,
             controls,
             entries,
--- a/crates/yucca-fleet/src/entry/desk.rs
+++ b/crates/yucca-fleet/src/entry/desk.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use tokio::sync::{Notify, oneshot};
 use yucca_lane::shared::{service, target, window};
-use yucca_own::site::{item, range, target as site};
+use yucca_own::site::{balance, item, range, target as site};
 
 use crate::control::lock;
 
@@ -79,6 +79,15 @@
         all.collect()
     }
 
+    /// Returns what was measured since the last call.
+    pub fn report(&self) -> balance::Report {
+        let mut report = balance::Report::default();
+        for (name, counter) in lock(&self.counters).iter_mut() {
+            counter.service.report(name, &mut report);
+        }
+        report
+    }
+
     /// Counts a request of a caller for a service.
     pub fn count(&self, name: &item::Name, now: time::Duration) {
         self.with(name, |counter| {
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -17,6 +17,9 @@
 /// After so long without an answer the state is asked for again.
 const PULL_PATIENCE: time::Duration = time::Duration::from_millis(250);
 
+/// How often what was measured is reported.
+const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(400);
+
 /// How long a control host that others no longer name is still called.
 const FORGET_AFTER: time::Duration = time::Duration::from_secs(30);
 
@@ -31,6 +34,8 @@
     links: IndexMap<link::Id, Control>,
     /// When the state was last asked for, while no answer has come.
     pulled: Option<time::Duration>,
+    /// The leader, as a control host last told.
+    leader: Option<net::IpAddr>,
     /// The newest version that a control host in touch with the leader has told.
     newest: Option<id::Version>,
 }
@@ -56,16 +61,23 @@
         dialers: IndexMap::new(),
         links: IndexMap::new(),
         pulled: None,
+        leader: None,
         newest: None,
         core,
     };
     let seeds = follower.core.settings.seeds.clone();
     follower.dial(&seeds);
-    while let Some(event) = received.recv().await {
-        match event {
-            link::Event::Opened { link, peer } => follower.note_opened(link, peer),
-            link::Event::Closed { id, reason } => follower.note_closed(id, &reason),
-            link::Event::Message { id, message } => follower.note_message(id, message),
+    let mut reports = tokio::time::interval(REPORT_INTERVAL);
+    reports.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            event = received.recv() => match event {
+                Some(link::Event::Opened { link, peer }) => follower.note_opened(link, peer),
+                Some(link::Event::Closed { id, reason }) => follower.note_closed(id, &reason),
+                Some(link::Event::Message { id, message }) => follower.note_message(id, message),
+                None => return,
+            },
+            _ = reports.tick() => follower.report(),
         }
     }
 }
@@ -89,6 +101,20 @@
             .retain(|ip, (_, named)| now < *named + FORGET_AFTER || seeds.contains(ip));
     }
 
+    /// Reports what was measured to the leader. What can't be sent is lost, as the next report says
+    /// more.
+    fn report(&mut self) {
+        let report = self.core.desk.report();
+        let mut links = self.links.values();
+        let leader = links.find(|control| Some(control.peer.ip) == self.leader);
+        if let (Some(leader), false) = (leader, report.is_empty()) {
+            let sent = leader.link.send(message::Message::Report(Box::new(report)));
+            if !sent {
+                log::warn!("control={} report lost", leader.peer.host);
+            }
+        }
+    }
+
     fn note_opened(&mut self, link: link::Link, peer: message::Hello) {
         log::info!("control={} connection={} opened", peer.host, link.id);
         let control = Control {
@@ -117,6 +143,7 @@
             message::Message::Hello(_)
             | message::Message::Ping
             | message::Message::Log(_)
+            | message::Message::Report(_)
             | message::Message::Pull { .. } => {}
         }
     }
@@ -129,6 +156,7 @@
         }
         self.share_peers();
         if notice.current {
+            self.leader = notice.leader;
             self.newest = self.newest.max(Some(notice.version));
         }
         let asked = self.pulled.is_some_and(|at| now < at + PULL_PATIENCE);
--- a/crates/yucca-fleet/src/mesh/message.rs
+++ b/crates/yucca-fleet/src/mesh/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use yucca_log::message as log_message;
-use yucca_own::site::{delta, target};
+use yucca_own::site::{balance, delta, target};
 use yucca_wire::id;
 
 /// What a process does.
@@ -37,6 +37,8 @@
     /// Whether it is in touch with the leader, so that this is the newest version but for
     /// moments.
     pub current: bool,
+    /// The leader of the log, where it is known.
+    pub leader: Option<net::IpAddr>,
     /// The control hosts.
     pub controls: Vec<net::IpAddr>,
     /// The entry hosts with their failure domains.
@@ -61,6 +63,8 @@
     },
     /// Answers [`Message::Pull`].
     Delta(Box<delta::Delta>),
+    /// What an entry host has measured.
+    Report(Box<balance::Report>),
 }
 
 /// The requests that one entry host has at targets, sent as a datagram.
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use indexmap::{IndexMap, IndexSet};
-use yucca_own::site::{range, target as site};
+use yucca_own::site::{balance, item, range, target as site};
 
 use crate::shared::target;
 
@@ -99,6 +99,8 @@
     /// Stripes that their owner denied to hold.
     denied: IndexMap<u32, Denial>,
     waiting: IndexMap<u64, Request>,
+    /// Requests by stripe since the last report.
+    demand: IndexMap<u32, u32>,
 }
 
 impl Service {
@@ -151,10 +153,32 @@
 
     /// Takes in a request.
     pub fn arrive(&mut self, request: Request, now: time::Duration) -> Vec<Decision> {
+        if let (Some(key), Some(map), true) = (request.key, &self.map, self.keyed) {
+            *self.demand.entry(map.stripe_of(key)).or_default() += 1;
+        }
         self.waiting.insert(request.number, request);
         self.dispatch(now)
     }
 
+    /// Adds what was measured since the last call to a report. Only the owners of keys are balanced
+    /// by it, so other services report nothing.
+    pub fn report(&mut self, name: &item::Name, report: &mut balance::Report) {
+        if !self.keyed {
+            return;
+        }
+        let demand: Vec<(u32, u32)> = self.demand.drain(..).collect();
+        if !demand.is_empty() {
+            report.demand.push((name.clone(), demand));
+        }
+        for (number, target) in &mut self.targets {
+            let (count, time) = target.take_measured();
+            if count > 0 {
+                let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+                report.times.push((*number, count, micros));
+            }
+        }
+    }
+
     /// Forgets a request that waits, whose caller has gone.
     pub fn cancel(&mut self, number: u64) {
         self.waiting.shift_remove(&number);
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -48,6 +48,8 @@
     failures: u32,
     refusals: u32,
     times: estimate::Estimate,
+    /// Requests measured since the last report, and their whole time.
+    measured: (u32, time::Duration),
 }
 
 impl Target {
@@ -61,6 +63,7 @@
             failures: 0,
             refusals: 0,
             times: estimate::Estimate::default(),
+            measured: (0, time::Duration::ZERO),
         }
     }
 
@@ -95,9 +98,16 @@
         // A wait at the target is no part of its speed.
         if self.load() <= self.facts.slots {
             self.times.sample(took);
+            self.measured.0 += 1;
+            self.measured.1 += took;
         }
     }
 
+    /// Returns how many requests were measured since the last call, and their whole time.
+    pub fn take_measured(&mut self) -> (u32, time::Duration) {
+        std::mem::take(&mut self.measured)
+    }
+
     /// Takes in that it had no room, and pauses it until a slot should be free; for longer each time.
     pub fn refused(&mut self, now: time::Duration) {
         let rest = self.time() / self.facts.slots.max(1);
--- a/crates/yucca-own/src/site.rs
+++ b/crates/yucca-own/src/site.rs
@@ -4,6 +4,7 @@
 //! range of keys. [`State::apply`] is deterministic; what the leader alone knows, such as leases,
 //! is in [`lease`].
 
+pub mod balance;
 pub mod delta;
 pub mod item;
 pub mod lease;
--- a/crates/yucca-own/src/site/lease.rs
+++ b/crates/yucca-own/src/site/lease.rs
@@ -11,7 +11,7 @@
 use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3;
 
-use crate::site::{State, item, range, target};
+use crate::site::{State, balance, item, range, target};
 
 /// How much slower than ours a target's clock may run, in percent.
 const CLOCK_DRIFT_PERCENT: u32 = 2;
@@ -19,14 +19,23 @@
 /// Added to the end of a lease for timers that fire late.
 const EXPIRY_MARGIN: time::Duration = time::Duration::from_millis(60);
 
-/// The most rows in one answer; 20 bytes each, so that an answer stays under 4 KiB.
-const MAX_ROWS: u32 = 180;
+/// The most stripes of one target; a row takes 20 bytes, so that an answer stays under 4 KiB.
+const MAX_STRIPES: u32 = 190;
 
 /// Up to so many stripes a target's claim needs no merging of neighbours to stay under the limit.
 const SCATTERED_STRIPES: u32 = 128;
 
-/// A target gives stripes away when it has more than its share by this part of it.
-const SURPLUS_DIVISOR: u32 = 10;
+/// A target gives stripes away when its work exceeds its share by this factor.
+const SURPLUS_FACTOR: f64 = 1.15;
+
+/// A target that has less than this part of its share gets stripes from all that exceed theirs.
+const POOR_FACTOR: f64 = 0.6;
+
+/// Of its surplus, a target gives this part away at one heartbeat.
+const SHED_PART: f64 = 0.7;
+
+/// Up to so many targets, each may have more stripes than fit, since neighbours merge.
+const FEW_TARGETS: usize = 6;
 
 /// How the book decides.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -99,6 +108,7 @@
     handovers: IndexMap<(item::Name, u32), String>,
     /// Stripes that are about to get another owner, with the one they have. They are not renewed.
     changing: IndexMap<(item::Name, u32), Option<target::Number>>,
+    balance: balance::Balance,
     /// When the first target of a service was heard.
     first: IndexMap<item::Name, time::Duration>,
 }
@@ -112,6 +122,7 @@
             holders: IndexMap::new(),
             handovers: IndexMap::new(),
             changing: IndexMap::new(),
+            balance: balance::Balance::default(),
             first: IndexMap::new(),
         }
     }
@@ -127,6 +138,11 @@
         self.holder(number).heard = now;
     }
 
+    /// Takes in what an entry host has measured.
+    pub fn report(&mut self, report: &balance::Report, now: time::Duration) {
+        self.balance.note(report, now);
+    }
+
     /// Takes in what a heartbeat says of keys. Returns false for one that is older than another
     /// that was heard, which must be answered without any grant.
     pub fn hear(&mut self, state: &State, kept: &target::Kept, beat: &Beat) -> bool {
@@ -183,9 +199,11 @@
                 &fresh
             }
         };
-        let quota = quota(map, &eligible, kept);
-        let owned = self.kept_stripes(service, map, kept.number).count() as u32;
-        if owned >= quota {
+        let share = self.balance.share(kept, &eligible);
+        let quota = self.balance.total(service, map) * share;
+        let owned: Vec<u32> = self.kept_stripes(service, map, kept.number).collect();
+        let mut work = self.balance.sum(service, map, owned.iter().copied());
+        if work >= quota {
             return None;
         }
         let free = map
@@ -195,9 +213,24 @@
         let mut free: Vec<(u32, range::Token)> = free
             .map(|(number, stripe)| (number, stripe.token))
             .collect();
-        let group = quota.div_ceil(SCATTERED_STRIPES).next_power_of_two();
+        let expected = (f64::from(map.count()) * share).ceil() as u32;
+        let group = expected.div_ceil(SCATTERED_STRIPES).next_power_of_two();
         free.sort_by_key(|(number, _)| (scatter(*number / group), *number));
-        free.truncate(quota.saturating_sub(owned) as usize);
+        let room = if eligible.len() > FEW_TARGETS {
+            MAX_STRIPES.saturating_sub(owned.len() as u32)
+        } else {
+            range::MAX_STRIPES
+        };
+        free.truncate(room as usize);
+        let mut taken = 0;
+        for (number, _) in &free {
+            if work >= quota {
+                break;
+            }
+            work += self.balance.weight(service, map, *number);
+            taken += 1;
+        }
+        free.truncate(taken);
         let count = map.count();
         let owners: Vec<Option<target::Number>> = free
             .iter()
@@ -262,45 +295,66 @@
         let Some(map) = state.ranges.get(&kept.target.service) else {
             return;
         };
-        let mut owned: Vec<u32> = self
+        let owned: Vec<u32> = self
             .kept_stripes(&kept.target.service, map, kept.number)
             .collect();
-        let surplus = if kept.target.phase == target::Phase::Ready {
-            self.surplus(state, map, kept, owned.len() as u32, now)
+        let given = if kept.target.phase == target::Phase::Ready {
+            self.surplus(state, map, kept, owned, now)
         } else {
-            owned.len()
+            owned
         };
-        owned.sort_by_key(|stripe| scatter(*stripe));
         let holder = self.holder(kept.number);
         let sequence = holder.sequence;
-        for stripe in owned.into_iter().rev().take(surplus) {
+        for stripe in given {
             holder.leaving.insert(stripe, sequence);
         }
     }
 
-    /// Returns how many stripes a target has to give, where another one lacks some.
+    /// Returns the stripes that a target has too many, where another one lacks some.
     fn surplus(
         &self,
         state: &State,
         map: &range::Map,
         kept: &target::Kept,
-        owned: u32,
+        mut owned: Vec<u32>,
         now: time::Duration,
-    ) -> usize {
+    ) -> Vec<u32> {
         // Right after an election a release can't be told from an old heartbeat.
         if now < self.since + self.config.expiry() {
-            return 0;
+            return Vec::new();
         }
-        let eligible = self.eligible(state, &kept.target.service, now);
-        let quota = quota(map, &eligible, kept);
-        if owned <= quota + quota / SURPLUS_DIVISOR {
-            return 0;
+        let service = &kept.target.service;
+        let eligible = self.eligible(state, service, now);
+        let total = self.balance.total(service, map);
+        let quota = total * self.balance.share(kept, &eligible);
+        let work = self.balance.sum(service, map, owned.iter().copied());
+        if work <= quota {
+            return Vec::new();
+        }
+        let poorest = eligible
+            .iter()
+            .filter(|other| other.number != kept.number)
+            .map(|other| {
+                let has = self.balance.sum(service, map, map.owned(other.number));
+                has / (total * self.balance.share(other, &eligible))
+            })
+            .fold(f64::INFINITY, f64::min);
+        let worth_it = work > quota * SURPLUS_FACTOR && poorest < 1.0;
+        if !worth_it && poorest >= POOR_FACTOR {
+            return Vec::new();
         }
-        let poor = eligible.iter().any(|other| {
-            let has = map.owned_count(other.number);
-            has + has / SURPLUS_DIVISOR < quota
+        let mut surplus = (work - quota) * SHED_PART;
+        // The heaviest first, so that few change hands; one that is too heavy stays.
+        let weight = |stripe: &u32| self.balance.weight(service, map, *stripe);
+        owned.sort_by(|one, other| weight(other).total_cmp(&weight(one)));
+        owned.retain(|stripe| {
+            let fits = weight(stripe) <= surplus;
+            if fits {
+                surplus -= weight(stripe);
+            }
+            fits
         });
-        if poor { (owned - quota) as usize } else { 0 }
+        owned
     }
 
     fn holder(&mut self, number: target::Number) -> &mut Holder {
@@ -397,24 +451,6 @@
     }
 }
 
-/// Returns how many stripes a target should have, by its slots.
-fn quota(map: &range::Map, eligible: &[&target::Kept], kept: &target::Kept) -> u32 {
-    let own = u64::from(kept.target.slots.max(1));
-    let others = eligible.iter().filter(|other| other.number != kept.number);
-    let all: u64 = own
-        + others
-            .map(|other| u64::from(other.target.slots.max(1)))
-            .sum::<u64>();
-    let quota = (u64::from(map.count()) * own).div_ceil(all);
-    // Neighbouring stripes merge into rows, so a larger share still fits where few targets are left.
-    let scattered = u64::from(MAX_ROWS);
-    if eligible.len() > 2 {
-        quota.min(scattered.max(u64::from(map.count()) / 3)) as u32
-    } else {
-        quota as u32
-    }
-}
-
 /// Orders stripes so that neighbours are far apart.
 fn scatter(number: u32) -> u64 {
     xxh3::xxh3_64(&number.to_le_bytes())
