--- a/crates/yucca-fleet/src/control/announce.rs
+++ b/crates/yucca-fleet/src/control/announce.rs
@@ -130,8 +130,18 @@
         let now = self.clock.now();
         let machine = lock(&self.machine);
         let kept = machine.state.targets.get(kept.number)?.clone();
-        let grants = self.with_book(|book| book.renew(&machine.state, &kept, now));
-        Some(grants)
+        let renewal = self.with_book(|book| book.renew(&machine.state, &kept, now));
+        drop(machine);
+        if !renewal.moving.is_empty() {
+            log::info!(
+                "target={} service={} gives {} stripes away",
+                kept.target.life,
+                kept.target.service,
+                renewal.moving.len()
+            );
+            self.tell_moving(&kept.target.service, renewal.moving);
+        }
+        Some(renewal.grants)
     }
 
     /// Takes in what an entry host has measured, if this host leads.
--- a/crates/yucca-fleet/src/control/follower.rs
+++ b/crates/yucca-fleet/src/control/follower.rs
@@ -6,6 +6,7 @@
 
 use tokio::sync::mpsc;
 use yucca_control::directory;
+use yucca_own::site::{item, range};
 use yucca_wire::id;
 
 use crate::control::{Core, lock};
@@ -90,6 +91,7 @@
             message::Message::Hello(_)
             | message::Message::Ping
             | message::Message::Notice(_)
+            | message::Message::Moving { .. }
             | message::Message::Delta(_) => {}
         }
     }
@@ -128,6 +130,24 @@
         }
     }
 
+    /// Tells followers of stripes whose owner is about to release them.
+    pub(super) fn tell_moving(
+        &self,
+        service: &item::Name,
+        stripes: Vec<(u32, range::Token)>,
+    ) {
+        let message = message::Message::Moving {
+            service: service.clone(),
+            stripes,
+        };
+        for follower in lock(&self.followers).values() {
+            if follower.peer.role == message::Role::Entry {
+                // One that does not hear of it is told by the owner that it does not hold the key.
+                let _ = follower.link.send(message.clone());
+            }
+        }
+    }
+
     fn notice(&self) -> message::Notice {
         let standing = self.replica.standing();
         let version = lock(&self.machine).state.version;
--- a/crates/yucca-fleet/src/entry/desk.rs
+++ b/crates/yucca-fleet/src/entry/desk.rs
@@ -70,6 +70,19 @@
         }
     }
 
+    /// Takes in that the owner of some stripes is about to release them.
+    pub fn move_stripes(
+        &self,
+        name: &item::Name,
+        stripes: &[(u32, range::Token)],
+        now: time::Duration,
+    ) {
+        self.with(name, |counter| {
+            counter.service.move_stripes(stripes, now);
+            Vec::new()
+        });
+    }
+
     /// Returns the requests of this host at targets.
     pub fn loads(&self) -> Vec<(site::Number, u32)> {
         let counters = lock(&self.counters);
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -140,6 +140,9 @@
         match message {
             message::Message::Notice(notice) => self.note_notice(id, notice),
             message::Message::Delta(delta) => self.note_delta(*delta),
+            message::Message::Moving { service, stripes } => {
+                self.core.desk.move_stripes(&service, &stripes, self.core.clock.now());
+            }
             message::Message::Hello(_)
             | message::Message::Ping
             | message::Message::Log(_)
--- a/crates/yucca-fleet/src/mesh/message.rs
+++ b/crates/yucca-fleet/src/mesh/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use yucca_log::message as log_message;
-use yucca_own::site::{balance, delta, target};
+use yucca_own::site::{balance, delta, item, range, target};
 use yucca_wire::id;
 
 /// What a process does.
@@ -63,6 +63,14 @@
     },
     /// Answers [`Message::Pull`].
     Delta(Box<delta::Delta>),
+    /// Stripes whose owner is about to release them. Until they get another token, requests for
+    /// them wait.
+    Moving {
+        /// The service.
+        service: item::Name,
+        /// The stripes with their tokens.
+        stripes: Vec<(u32, range::Token)>,
+    },
     /// What an entry host has measured.
     Report(Box<balance::Report>),
 }
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -13,6 +13,9 @@
 /// How long a stripe waits after its owner said that it does not hold it; the wait doubles each time.
 const DENIED_PAUSE: time::Duration = time::Duration::from_millis(60);
 
+/// How long requests wait for the next owner of a stripe that is being moved: two announcements.
+const MOVE_PATIENCE: time::Duration = time::Duration::from_millis(2_000);
+
 /// How often the wait doubles at the most.
 const DENIED_DOUBLINGS: u32 = 3;
 
@@ -122,6 +125,19 @@
         self.map = map;
     }
 
+    /// Takes in that the owner of some stripes is about to release them. Requests for them wait until
+    /// they have another token, or for so long that the news must have been lost.
+    pub fn move_stripes(&mut self, stripes: &[(u32, range::Token)], now: time::Duration) {
+        for (number, token) in stripes {
+            let denial = Denial {
+                token: *token,
+                times: DENIED_DOUBLINGS,
+                until: now + MOVE_PATIENCE,
+            };
+            self.denied.insert(*number, denial);
+        }
+    }
+
     /// Takes in how many requests other hosts of this domain have at the targets. Keys are sent to
     /// their owner from every domain alike, so hosts elsewhere are presumed to have `far` times as
     /// many there as those of this domain. Other services are served near where there is room.
--- a/crates/yucca-own/src/site/balance.rs
+++ b/crates/yucca-own/src/site/balance.rs
@@ -13,7 +13,7 @@
 use crate::site::{item, range, target};
 
 /// The time over which demand is averaged; busy keys change within a few seconds.
-const DEMAND_SPAN: time::Duration = time::Duration::from_millis(1_500);
+const DEMAND_SPAN: time::Duration = time::Duration::from_millis(2_500);
 
 /// How much a new sample weighs in a target's mean time, for each request of it.
 const SAMPLE_WEIGHT: f64 = 0.04;
--- a/crates/yucca-own/src/site/lease.rs
+++ b/crates/yucca-own/src/site/lease.rs
@@ -26,7 +26,7 @@
 const SCATTERED_STRIPES: u32 = 128;
 
 /// A target gives stripes away when its work exceeds its share by this factor.
-const SURPLUS_FACTOR: f64 = 1.15;
+const SURPLUS_FACTOR: f64 = 1.25;
 
 /// A target that has less than this part of its share gets stripes from all that exceed theirs.
 const POOR_FACTOR: f64 = 0.6;
@@ -86,6 +86,15 @@
     pub handover: Option<String>,
 }
 
+/// What a target may hold from now on.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Renewal {
+    /// The keys.
+    pub grants: Vec<Grant>,
+    /// Stripes that it is to give away with this answer, with their tokens.
+    pub moving: Vec<(u32, range::Token)>,
+}
+
 /// What the leader knows of one target.
 #[derive(Debug, Clone, Default)]
 struct Holder {
@@ -263,17 +272,21 @@
         }
     }
 
-    /// Renews what a target may keep and returns it. Call it only after a quorum has confirmed,
-    /// since the heartbeat came, that this leader leads.
-    pub fn renew(&mut self, state: &State, kept: &target::Kept, now: time::Duration) -> Vec<Grant> {
+    /// Renews what a target may keep. Call it only after a quorum has confirmed, since the
+    /// heartbeat came, that this leader leads.
+    pub fn renew(&mut self, state: &State, kept: &target::Kept, now: time::Duration) -> Renewal {
         let expires = now + self.config.expiry();
-        self.shed(state, kept, now);
+        let moving = self.shed(state, kept, now);
         let holder = self.holder(kept.number);
         holder.expires = expires;
         let service = &kept.target.service;
         let Some(map) = state.ranges.get(service) else {
-            return Vec::new();
+            return Renewal::default();
         };
+        let moving = moving
+            .into_iter()
+            .filter_map(|number| Some((number, map.get(number)?.token)))
+            .collect();
         let mut rows: Vec<Grant> = Vec::new();
         for stripe in self.kept_stripes(service, map, kept.number) {
             let token = map.get(stripe).map(|s| s.token).unwrap_or_default();
@@ -287,13 +300,16 @@
                 },
             );
         }
-        rows
+        Renewal {
+            grants: rows,
+            moving,
+        }
     }
 
     /// Decides which stripes a target is to give away, and stops renewing them.
-    fn shed(&mut self, state: &State, kept: &target::Kept, now: time::Duration) {
+    fn shed(&mut self, state: &State, kept: &target::Kept, now: time::Duration) -> Vec<u32> {
         let Some(map) = state.ranges.get(&kept.target.service) else {
-            return;
+            return Vec::new();
         };
         let owned: Vec<u32> = self
             .kept_stripes(&kept.target.service, map, kept.number)
@@ -305,9 +321,10 @@
         };
         let holder = self.holder(kept.number);
         let sequence = holder.sequence;
-        for stripe in given {
-            holder.leaving.insert(stripe, sequence);
+        for stripe in &given {
+            holder.leaving.insert(*stripe, sequence);
         }
+        given
     }
 
     /// Returns the stripes that a target has too many, where another one lacks some.
