Targets announce themselves in their own domain; a digest goes to the leader

The control host that hears it knows the replicated state, so it asks the leader in a few bytes and writes the rows itself.

--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -2,6 +2,7 @@
 //! hosts what is agreed on.
 
 mod announce;
+mod ask;
 mod call;
 mod carry;
 mod follower;
@@ -97,6 +98,10 @@
     /// The leases, with the term in which this host gives them.
     book: sync::Mutex<Option<(u64, lease::Book)>>,
     followers: sync::Mutex<IndexMap<link::Id, follower::Follower>>,
+    carrier: sync::Arc<carry::Carrier>,
+    questions: ask::Questions,
+    /// The port for operators and targets, the same on all control hosts.
+    operator_port: u16,
     hosts: sync::Arc<ArcSwap<directory::Directory>>,
 }
 
@@ -146,7 +151,7 @@
                 incarnations: rngs::StdRng::from_rng(&mut random),
             }),
             machine: machine.clone(),
-            courier: carrier,
+            courier: carrier.clone(),
             feed: sync::Arc::new(feed::Feed::default()),
             hosts: sync::Arc::new(move || seen.load_full()),
             rule: replica::Rule::Spread,
@@ -158,6 +163,9 @@
             machine,
             book: sync::Mutex::default(),
             followers: sync::Mutex::default(),
+            carrier,
+            questions: ask::Questions::default(),
+            operator_port: operator.port(),
             hosts,
             settings,
         });
--- a/crates/yucca-fleet/src/control/announce.rs
+++ b/crates/yucca-fleet/src/control/announce.rs
@@ -1,18 +1,16 @@
 //! Announcements of targets, and the leases in the answers.
+//!
+//! A target announces itself to the control host of its own domain. That host knows the replicated
+//! state, so only what is news, or a short question for the renewal, goes to the leader: the rows
+//! of keys in announcements and answers stay within the domain.
 
 use std::sync;
 
 use yucca_own::site::{self, lease, target};
 
-use crate::control::call::Failure;
 use crate::control::{Core, lock};
 use crate::dialect::operator;
-
-/// What a claim of keys needs: the target, and what is to be agreed on.
-struct Claim {
-    kept: target::Kept,
-    assignment: Option<site::range::Assignment>,
-}
+use crate::mesh::message;
 
 impl Core {
     /// Takes in an announcement. It is answered only once what it changes is agreed on.
@@ -20,103 +18,128 @@
         self: &sync::Arc<Self>,
         target: target::Target,
         beat: lease::Beat,
-    ) -> Result<operator::Answer, Failure> {
-        if !self.replica.standing().leads {
-            return Err(Failure::NotLeader);
-        }
-        if self.is_news(&target) {
-            log::info!(
-                "target={} service={} address={} phase={} announced",
-                target.life,
-                target.service,
-                target.address,
-                target.phase
-            );
-            self.propose(&site::Command::Announce(target.clone()))
-                .await?;
+    ) -> Result<operator::Answer, message::Refusal> {
+        let domain = target.domain.clone();
+        let ask = self.ask_of(target, &beat);
+        let next = Some(self.nearest(&domain));
+        if ask.news.is_none() && ask.beat.is_none() {
+            return Ok(operator::Answer::Heard { grants: None, next });
         }
-        let grants = if self.is_keyed(&target) {
-            self.confirm().await?;
-            self.grant(&target, &beat).await?
+        let life = ask.life.clone();
+        let renewal = if self.replica.standing().leads {
+            self.decide(ask).await?
         } else {
-            None
+            self.ask_leader(ask).await?
+        };
+        let grants = match renewal {
+            Some(renewal) => Some(self.rows(&life, &renewal).await?),
+            None => None,
         };
         Ok(operator::Answer::Heard {
             grants: grants.map(|grants| (grants, self.settings.hold())),
-            next: self.settings.addresses.operator,
+            next,
         })
     }
 
-    fn is_news(&self, target: &target::Target) -> bool {
-        lock(&self.machine).state.targets.is_news(target)
-    }
-
-    fn is_keyed(&self, target: &target::Target) -> bool {
+    /// Returns what an announcement asks of the leader.
+    fn ask_of(&self, target: target::Target, beat: &lease::Beat) -> message::Ask {
         let machine = lock(&self.machine);
-        let service = machine.state.items.service(&target.service);
-        service.is_some_and(|service| service.keyed)
+        let state = &machine.state;
+        let keyed = state
+            .items
+            .service(&target.service)
+            .is_some_and(|service| service.keyed);
+        let digest = || match (
+            state.ranges.get(&target.service),
+            state.targets.life(&target.life),
+        ) {
+            (Some(map), Some(kept)) => lease::Digest::new(beat, map, kept.number),
+            _ => lease::Digest::blank(beat.sequence),
+        };
+        message::Ask {
+            life: target.life.clone(),
+            beat: keyed.then(digest),
+            news: state.targets.is_news(&target).then_some(target),
+        }
     }
 
-    /// Renews what the target holds and gives it what it should get.
-    async fn grant(
+    /// Decides on an announcement, as the leader.
+    pub(super) async fn decide(
         self: &sync::Arc<Self>,
-        target: &target::Target,
-        beat: &lease::Beat,
-    ) -> Result<Option<Vec<lease::Grant>>, Failure> {
-        let Some(claim) = self.hear_beat(target, beat) else {
+        ask: message::Ask,
+    ) -> Result<Option<lease::Renewal>, message::Refusal> {
+        if !self.replica.standing().leads {
+            return Err(message::Refusal::NotLeader);
+        }
+        if let Some(target) = ask.news {
+            log::info!(
+                "target={} service={} address={} phase={} announced",
+                target.life,
+                target.service,
+                target.address,
+                target.phase
+            );
+            self.propose(&site::Command::Announce(target)).await?;
+        }
+        let Some(beat) = ask.beat else {
             return Ok(None);
         };
-        if let Some(assignment) = claim.assignment {
+        self.confirm().await?;
+        let Some((kept, assignment)) = self.hear_beat(&ask.life, &beat) else {
+            return Ok(None);
+        };
+        if let Some(assignment) = assignment {
             log::info!(
                 "target={} service={} gets {} stripes",
-                claim.kept.target.life,
+                ask.life,
                 assignment.service,
                 assignment.stripes.len()
             );
             // The claim must be settled also where nobody waits for the answer any more.
             let assigning = tokio::spawn(self.clone().assign(assignment)).await;
-            assigning.map_err(|error| Failure::Unavailable(error.to_string()))??;
+            assigning.map_err(|error| message::Refusal::Unavailable(error.to_string()))??;
         }
-        Ok(self.renew(&claim.kept))
+        Ok(self.renew(kept.number))
     }
 
     async fn assign(
         self: sync::Arc<Self>,
         assignment: site::range::Assignment,
-    ) -> Result<(), Failure> {
+    ) -> Result<(), message::Refusal> {
         let command = site::Command::Assign(assignment.clone());
         let outcome = self.propose(&command).await;
         self.settle(&assignment, &outcome);
         outcome.map(|_| ())
     }
 
-    fn hear_beat(&self, target: &target::Target, beat: &lease::Beat) -> Option<Claim> {
+    fn hear_beat(
+        &self,
+        life: &target::Life,
+        beat: &lease::Digest,
+    ) -> Option<(target::Kept, Option<site::range::Assignment>)> {
         let now = self.clock.now();
         let machine = lock(&self.machine);
-        let kept = machine.state.targets.life(&target.life)?.clone();
+        let kept = machine.state.targets.life(life)?.clone();
         self.with_book(|book| {
             book.note(kept.number, &kept.target.service, now);
             if !book.hear(&machine.state, &kept, beat) {
                 return None;
             }
             let assignment = book.claim(&machine.state, &kept, now);
-            Some(Claim {
-                kept: kept.clone(),
-                assignment,
-            })
+            Some((kept.clone(), assignment))
         })
     }
 
     fn settle(
         &self,
         assignment: &site::range::Assignment,
-        outcome: &Result<site::Outcome, Failure>,
+        outcome: &Result<site::Outcome, message::Refusal>,
     ) {
         self.with_book(|book| match outcome {
             Ok(_) => book.settle(assignment, true),
-            Err(Failure::NotLeader) => book.settle(assignment, false),
+            Err(message::Refusal::NotLeader) => book.settle(assignment, false),
             // It may yet be agreed on, so its stripes are renewed for nobody by this leader.
-            Err(Failure::Unavailable(reason)) => {
+            Err(message::Refusal::Unavailable(reason)) => {
                 log::warn!(
                     "service={} assignment of {} stripes is in doubt: {reason}",
                     assignment.service,
@@ -126,22 +149,43 @@
         });
     }
 
-    fn renew(&self, kept: &target::Kept) -> Option<Vec<lease::Grant>> {
+    fn renew(&self, number: target::Number) -> Option<lease::Renewal> {
         let now = self.clock.now();
         let machine = lock(&self.machine);
-        let kept = machine.state.targets.get(kept.number)?.clone();
-        let renewal = self.with_book(|book| book.renew(&machine.state, &kept, now));
+        let kept = machine.state.targets.get(number)?.clone();
+        let (renewal, moving) = self.with_book(|book| book.renew(&machine.state, &kept, now));
         drop(machine);
-        if !renewal.moving.is_empty() {
+        if !moving.is_empty() {
             log::info!(
                 "target={} service={} gives {} stripes away",
                 kept.target.life,
                 kept.target.service,
-                renewal.moving.len()
+                moving.len()
             );
-            self.tell_moving(&kept.target.service, renewal.moving);
+            self.tell_moving(&kept.target.service, moving);
+        }
+        Some(renewal)
+    }
+
+    /// Returns the keys of a renewal, once this host has the state that it is about.
+    async fn rows(
+        &self,
+        life: &target::Life,
+        renewal: &lease::Renewal,
+    ) -> Result<Vec<lease::Grant>, message::Refusal> {
+        let mut standing = self.replica.watch();
+        let reached = standing.wait_for(|standing| standing.applied >= renewal.version);
+        if reached.await.is_err() {
+            let reason = "the replica has stopped".to_owned();
+            return Err(message::Refusal::Unavailable(reason));
         }
-        Some(renewal.grants)
+        let machine = lock(&self.machine);
+        let state = &machine.state;
+        let grants = state.targets.life(life).and_then(|kept| {
+            let map = state.ranges.get(&kept.target.service)?;
+            Some(renewal.grants(map, kept.number))
+        });
+        Ok(grants.unwrap_or_default())
     }
 
     /// Takes in what an entry host has measured, if this host leads.
--- a/crates/yucca-fleet/src/control/call.rs
+++ b/crates/yucca-fleet/src/control/call.rs
@@ -15,6 +15,7 @@
 
 use crate::control::{Core, lock};
 use crate::dialect::operator;
+use crate::mesh::message;
 use crate::server;
 
 /// The most bytes of a request's body.
@@ -29,14 +30,6 @@
 /// How long a request may wait for a quorum.
 const PATIENCE: time::Duration = time::Duration::from_millis(2_500);
 
-/// Why nothing was agreed on.
-pub(super) enum Failure {
-    /// Another host leads.
-    NotLeader,
-    /// It was not done, or whether it was done is not known.
-    Unavailable(String),
-}
-
 /// Answers requests of operators and targets.
 pub(super) struct Handler(pub sync::Arc<Core>);
 
@@ -81,8 +74,8 @@
         let answered = tokio::time::timeout(PATIENCE, self.perform(call)).await;
         match answered {
             Ok(Ok(answer)) => answer,
-            Ok(Err(Failure::NotLeader)) => self.elsewhere(),
-            Ok(Err(Failure::Unavailable(reason))) => operator::Answer::Unavailable(reason),
+            Ok(Err(message::Refusal::NotLeader)) => self.elsewhere(),
+            Ok(Err(message::Refusal::Unavailable(reason))) => operator::Answer::Unavailable(reason),
             Err(_) => operator::Answer::Unavailable("no quorum answered in time".into()),
         }
     }
@@ -90,7 +83,7 @@
     async fn perform(
         self: &sync::Arc<Self>,
         call: operator::Call,
-    ) -> Result<operator::Answer, Failure> {
+    ) -> Result<operator::Answer, message::Refusal> {
         match call {
             operator::Call::Announce { target, beat } => self.announce(target, beat).await,
             operator::Call::Leave { name, born } => self.leave(name, born).await,
@@ -112,7 +105,7 @@
         }
     }
 
-    async fn change(&self, patch: site::item::Patch) -> Result<operator::Answer, Failure> {
+    async fn change(&self, patch: site::item::Patch) -> Result<operator::Answer, message::Refusal> {
         let items: Vec<String> = patch
             .items
             .iter()
@@ -135,7 +128,7 @@
         &self,
         name: site::item::Name,
         born: Option<u64>,
-    ) -> Result<operator::Answer, Failure> {
+    ) -> Result<operator::Answer, message::Refusal> {
         self.confirm().await?;
         let life = {
             let machine = lock(&self.machine);
@@ -150,7 +143,7 @@
         Ok(operator::Answer::Done)
     }
 
-    async fn read(&self) -> Result<operator::Answer, Failure> {
+    async fn read(&self) -> Result<operator::Answer, message::Refusal> {
         self.confirm().await?;
         let machine = lock(&self.machine);
         let standing = machine.state.items.standing();
@@ -164,30 +157,34 @@
 
     /// Waits until a quorum has confirmed that this host leads, and the state holds all that was
     /// agreed on before.
-    pub(super) async fn confirm(&self) -> Result<(), Failure> {
+    pub(super) async fn confirm(&self) -> Result<(), message::Refusal> {
         if !self.replica.standing().leads {
-            return Err(Failure::NotLeader);
+            return Err(message::Refusal::NotLeader);
         }
         self.replica.read().await.map(|_| ()).map_err(failure)
     }
 
     /// Has a command agreed on.
-    pub(super) async fn propose(&self, command: &site::Command) -> Result<site::Outcome, Failure> {
+    pub(super) async fn propose(
+        &self,
+        command: &site::Command,
+    ) -> Result<site::Outcome, message::Refusal> {
         if !self.replica.standing().leads {
-            return Err(Failure::NotLeader);
+            return Err(message::Refusal::NotLeader);
         }
         let entry = rmp_serde::to_vec(command).map_err(|error| {
-            Failure::Unavailable(format!("the command has no encoding: {error}"))
+            message::Refusal::Unavailable(format!("the command has no encoding: {error}"))
         })?;
         let receipt = self.replica.propose(entry.into()).await.map_err(failure)?;
-        rmp_serde::from_slice(&receipt.reply)
-            .map_err(|error| Failure::Unavailable(format!("the outcome is unreadable: {error}")))
+        rmp_serde::from_slice(&receipt.reply).map_err(|error| {
+            message::Refusal::Unavailable(format!("the outcome is unreadable: {error}"))
+        })
     }
 }
 
-fn failure(error: replica::Error) -> Failure {
+fn failure(error: replica::Error) -> message::Refusal {
     match error {
-        replica::Error::Refused(node::Refusal::NotLeader { .. }) => Failure::NotLeader,
-        error => Failure::Unavailable(error.to_string()),
+        replica::Error::Refused(node::Refusal::NotLeader { .. }) => message::Refusal::NotLeader,
+        error => message::Refusal::Unavailable(error.to_string()),
     }
 }
--- a/crates/yucca-fleet/src/control/carry.rs
+++ b/crates/yucca-fleet/src/control/carry.rs
@@ -35,10 +35,10 @@
             dialers: sync::Mutex::default(),
         }
     }
-}
 
-impl replica::Carrier for Carrier {
-    fn send(&self, to: &id::Host, message: log_message::Message) {
+    /// Sends a message without waiting; it may be lost, and who waits for an answer then waits in
+    /// vain and tries again.
+    pub fn say(&self, to: &id::Host, message: message::Message) {
         let mut dialers = lock(&self.dialers);
         if !dialers.contains_key(to) {
             let Ok(ip) = to.as_str().parse::<net::IpAddr>() else {
@@ -50,8 +50,13 @@
             dialers.insert(to.clone(), dialer);
         }
         if let Some(dialer) = dialers.get(to) {
-            // The log sends again what is lost.
-            let _ = dialer.send(message::Message::Log(Box::new(message)));
+            let _ = dialer.send(message);
         }
     }
 }
+
+impl replica::Carrier for Carrier {
+    fn send(&self, to: &id::Host, message: log_message::Message) {
+        self.say(to, message::Message::Log(Box::new(message)));
+    }
+}
--- a/crates/yucca-fleet/src/control/follower.rs
+++ b/crates/yucca-fleet/src/control/follower.rs
@@ -25,6 +25,13 @@
     link: link::Link,
 }
 
+impl Follower {
+    /// Returns who it is.
+    pub fn peer(&self) -> &message::Hello {
+        &self.peer
+    }
+}
+
 impl Core {
     /// Takes in what happens on connections.
     pub(super) async fn hear(self: sync::Arc<Self>, mut events: mpsc::Receiver<link::Event>) {
@@ -76,16 +83,19 @@
         self.hosts.store(sync::Arc::new(next));
     }
 
-    fn note_message(&self, id: link::Id, message: message::Message) {
+    fn note_message(self: &sync::Arc<Self>, id: link::Id, message: message::Message) {
         match message {
             message::Message::Log(message) => {
-                let from = lock(&self.followers)
-                    .get(&id)
-                    .map(|follower| follower.peer.host.clone());
-                if let Some(from) = from {
+                if let Some(from) = self.host_of(id) {
                     self.replica.receive(from, *message);
                 }
             }
+            message::Message::Ask { ticket, ask } => {
+                if let Some(from) = self.host_of(id) {
+                    self.answer_ask(from, ticket, *ask);
+                }
+            }
+            message::Message::Reply { ticket, reply } => self.note_reply(ticket, reply),
             message::Message::Pull { have } => self.answer_pull(id, have),
             message::Message::Report(report) => self.note_report(&report),
             message::Message::Hello(_)
@@ -96,6 +106,13 @@
         }
     }
 
+    fn host_of(&self, id: link::Id) -> Option<id::Host> {
+        let followers = lock(&self.followers);
+        followers
+            .get(&id)
+            .map(|follower| follower.peer.host.clone())
+    }
+
     fn answer_pull(&self, id: link::Id, have: id::Version) {
         let delta = lock(&self.machine).state.delta(have);
         if let Some(follower) = lock(&self.followers).get(&id) {
@@ -131,11 +148,7 @@
     }
 
     /// Tells followers of stripes whose owner is about to release them.
-    pub(super) fn tell_moving(
-        &self,
-        service: &item::Name,
-        stripes: Vec<(u32, range::Token)>,
-    ) {
+    pub(super) fn tell_moving(&self, service: &item::Name, stripes: Vec<(u32, range::Token)>) {
         let message = message::Message::Moving {
             service: service.clone(),
             stripes,
--- a/crates/yucca-fleet/src/entry/desk.rs
+++ b/crates/yucca-fleet/src/entry/desk.rs
@@ -55,12 +55,7 @@
 
     /// Takes in how many requests other hosts of this domain have at targets. Hosts elsewhere are
     /// presumed to have `far` times as many as those of this domain.
-    pub fn set_others(
-        &self,
-        loads: &IndexMap<site::Number, u32>,
-        far: f64,
-        now: time::Duration,
-    ) {
+    pub fn set_others(&self, loads: &IndexMap<site::Number, u32>, far: f64, now: time::Duration) {
         let names: Vec<item::Name> = lock(&self.counters).keys().cloned().collect();
         for name in names {
             self.with(&name, |counter| {
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -141,11 +141,15 @@
             message::Message::Notice(notice) => self.note_notice(id, notice),
             message::Message::Delta(delta) => self.note_delta(*delta),
             message::Message::Moving { service, stripes } => {
-                self.core.desk.move_stripes(&service, &stripes, self.core.clock.now());
+                self.core
+                    .desk
+                    .move_stripes(&service, &stripes, self.core.clock.now());
             }
             message::Message::Hello(_)
             | message::Message::Ping
             | message::Message::Log(_)
+            | message::Message::Ask { .. }
+            | message::Message::Reply { .. }
             | message::Message::Report(_)
             | message::Message::Pull { .. } => {}
         }
--- a/crates/yucca-fleet/src/entry/gossip.rs
+++ b/crates/yucca-fleet/src/entry/gossip.rs
@@ -156,5 +156,6 @@
     let peers = core.peers.load();
     let far = peers.iter().filter(|peer| !peer.near).count();
     let known = peers.len() - far + 1;
-    core.desk.set_others(&others, far as f64 / known as f64, now);
+    core.desk
+        .set_others(&others, far as f64 / known as f64, now);
 }
--- a/crates/yucca-fleet/src/mesh/message.rs
+++ b/crates/yucca-fleet/src/mesh/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use yucca_log::message as log_message;
-use yucca_own::site::{balance, delta, item, range, target};
+use yucca_own::site::{balance, delta, item, lease, range, target};
 use yucca_wire::id;
 
 /// What a process does.
@@ -45,6 +45,26 @@
     pub entries: Vec<(net::IpAddr, id::Domain)>,
 }
 
+/// What a target's announcement asks of the leader.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// What the target says of itself, where that is news to the host that heard it.
+    pub news: Option<target::Target>,
+    /// Which target.
+    pub life: target::Life,
+    /// What it says of its keys, where its service is divided by key.
+    pub beat: Option<lease::Digest>,
+}
+
+/// Why the leader gives no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// The host does not lead.
+    NotLeader,
+    /// It was not done, or whether it was done is not known.
+    Unavailable(String),
+}
+
 /// One message.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Message {
@@ -71,6 +91,20 @@
         /// The stripes with their tokens.
         stripes: Vec<(u32, range::Token)>,
     },
+    /// A control host asks the leader, for a target that announced itself there.
+    Ask {
+        /// Comes back in [`Message::Reply`].
+        ticket: u64,
+        /// What is asked.
+        ask: Box<Ask>,
+    },
+    /// Answers [`Message::Ask`].
+    Reply {
+        /// The ticket of the question.
+        ticket: u64,
+        /// What the target may hold; none renews nothing.
+        reply: Result<Option<lease::Renewal>, Refusal>,
+    },
     /// What an entry host has measured.
     Report(Box<balance::Report>),
 }
--- a/crates/yucca-own/src/site/lease.rs
+++ b/crates/yucca-own/src/site/lease.rs
@@ -9,7 +9,9 @@
 use std::time;
 
 use indexmap::{IndexMap, IndexSet};
+use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3;
+use yucca_wire::id;
 
 use crate::site::{State, balance, item, range, target};
 
@@ -75,6 +77,59 @@
     pub released: Vec<Release>,
 }
 
+/// Which stripes a target holds or still works on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Held {
+    /// At least all that it owned in the state of the host that heard it.
+    Owned,
+    /// These.
+    Stripes(IndexSet<u32>),
+}
+
+/// What a heartbeat says of stripes; short where nothing changes, as hosts pass it on.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Rises with each heartbeat of a life.
+    pub sequence: u64,
+    /// The stripes that the target holds.
+    pub held: Held,
+    /// Stripes that it has released, with the mark that hands them over.
+    pub released: Vec<(Vec<u32>, String)>,
+}
+
+impl Digest {
+    /// Returns what a heartbeat says, by the state of the host that heard it.
+    pub fn new(beat: &Beat, map: &range::Map, number: target::Number) -> Self {
+        let rows = beat.holds.iter();
+        let held: IndexSet<u32> = rows
+            .flat_map(|(keys, _)| map.touching(keys.clone()))
+            .collect();
+        let whole = map.owned(number).all(|stripe| held.contains(&stripe));
+        let released = beat.released.iter().map(|release| {
+            let stripes = map.within(release.keys.clone()).collect();
+            (stripes, release.handover.clone())
+        });
+        Self {
+            sequence: beat.sequence,
+            held: if whole {
+                Held::Owned
+            } else {
+                Held::Stripes(held)
+            },
+            released: released.collect(),
+        }
+    }
+
+    /// Returns what a heartbeat says while nobody owns any key.
+    pub fn blank(sequence: u64) -> Self {
+        Self {
+            sequence,
+            held: Held::Owned,
+            released: Vec::new(),
+        }
+    }
+}
+
 /// Keys that a target may hold.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Grant {
@@ -86,13 +141,47 @@
     pub handover: Option<String>,
 }
 
-/// What a target may hold from now on.
-#[derive(Debug, Clone, Default, PartialEq, Eq)]
+/// What a target may hold from now on: all that it owns in the state of this version, but for some.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Renewal {
-    /// The keys.
-    pub grants: Vec<Grant>,
-    /// Stripes that it is to give away with this answer, with their tokens.
-    pub moving: Vec<(u32, range::Token)>,
+    /// The version of the state.
+    pub version: id::Version,
+    /// Stripes that it is not to hold, though it owns them.
+    pub without: Vec<u32>,
+    /// The marks of stripes that were handed over.
+    pub handovers: Vec<(u32, String)>,
+}
+
+impl Renewal {
+    /// Returns the keys, by a state that is not older than the renewal's. What the target owns in a
+    /// newer state only is left out.
+    pub fn grants(&self, map: &range::Map, number: target::Number) -> Vec<Grant> {
+        let without: IndexSet<u32> = self.without.iter().copied().collect();
+        let handovers: IndexMap<u32, &String> = self
+            .handovers
+            .iter()
+            .map(|(stripe, handover)| (*stripe, handover))
+            .collect();
+        let mut rows: Vec<Grant> = Vec::new();
+        for number in map.owned(number) {
+            let Some(stripe) = map.get(number) else {
+                continue;
+            };
+            if without.contains(&number) || stripe.changed > self.version {
+                continue;
+            }
+            let handover = handovers.get(&number).map(|handover| (*handover).clone());
+            push_row(
+                &mut rows,
+                Grant {
+                    keys: map.keys(number),
+                    token: stripe.token,
+                    handover,
+                },
+            );
+        }
+        rows
+    }
 }
 
 /// What the leader knows of one target.
@@ -154,29 +243,26 @@
 
     /// Takes in what a heartbeat says of keys. Returns false for one that is older than another
     /// that was heard, which must be answered without any grant.
-    pub fn hear(&mut self, state: &State, kept: &target::Kept, beat: &Beat) -> bool {
+    pub fn hear(&mut self, state: &State, kept: &target::Kept, beat: &Digest) -> bool {
         let Some(map) = state.ranges.get(&kept.target.service) else {
             return self.advance(kept.number, beat.sequence);
         };
         if !self.advance(kept.number, beat.sequence) {
             return false;
         }
-        for release in &beat.released {
-            for stripe in map.within(release.keys.clone()) {
-                let key = (kept.target.service.clone(), stripe);
-                self.handovers.insert(key, release.handover.clone());
+        for (stripes, handover) in &beat.released {
+            for stripe in stripes {
+                let key = (kept.target.service.clone(), *stripe);
+                self.handovers.insert(key, handover.clone());
             }
         }
-        let held: IndexSet<u32> = beat
-            .holds
-            .iter()
-            .flat_map(|(keys, _)| map.touching(keys.clone()))
-            .collect();
         self.forget_used_handovers(kept, map, beat);
         let holder = self.holder(kept.number);
-        for (stripe, since) in &holder.leaving {
-            if *since < beat.sequence && !held.contains(stripe) {
-                holder.released.insert(*stripe);
+        if let Held::Stripes(held) = &beat.held {
+            for (stripe, since) in &holder.leaving {
+                if *since < beat.sequence && !held.contains(stripe) {
+                    holder.released.insert(*stripe);
+                }
             }
         }
         true
@@ -273,37 +359,39 @@
     }
 
     /// Renews what a target may keep. Call it only after a quorum has confirmed, since the
-    /// heartbeat came, that this leader leads.
-    pub fn renew(&mut self, state: &State, kept: &target::Kept, now: time::Duration) -> Renewal {
+    /// heartbeat came, that this leader leads. Also returns stripes that the target is to give away
+    /// from now on, with their tokens.
+    pub fn renew(
+        &mut self,
+        state: &State,
+        kept: &target::Kept,
+        now: time::Duration,
+    ) -> (Renewal, Vec<(u32, range::Token)>) {
         let expires = now + self.config.expiry();
         let moving = self.shed(state, kept, now);
         let holder = self.holder(kept.number);
         holder.expires = expires;
         let service = &kept.target.service;
         let Some(map) = state.ranges.get(service) else {
-            return Renewal::default();
+            return (Renewal::default(), Vec::new());
+        };
+        let kept_stripes: IndexSet<u32> = self.kept_stripes(service, map, kept.number).collect();
+        let owned = map.owned(kept.number);
+        let handovers = kept_stripes.iter().filter_map(|stripe| {
+            let handover = self.handovers.get(&(service.clone(), *stripe))?;
+            Some((*stripe, handover.clone()))
+        });
+        let renewal = Renewal {
+            version: state.version,
+            without: owned
+                .filter(|stripe| !kept_stripes.contains(stripe))
+                .collect(),
+            handovers: handovers.collect(),
         };
         let moving = moving
             .into_iter()
-            .filter_map(|number| Some((number, map.get(number)?.token)))
-            .collect();
-        let mut rows: Vec<Grant> = Vec::new();
-        for stripe in self.kept_stripes(service, map, kept.number) {
-            let token = map.get(stripe).map(|s| s.token).unwrap_or_default();
-            let handover = self.handovers.get(&(service.clone(), stripe)).cloned();
-            push_row(
-                &mut rows,
-                Grant {
-                    keys: map.keys(stripe),
-                    token,
-                    handover,
-                },
-            );
-        }
-        Renewal {
-            grants: rows,
-            moving,
-        }
+            .filter_map(|number| Some((number, map.get(number)?.token)));
+        (renewal, moving.collect())
     }
 
     /// Decides which stripes a target is to give away, and stops renewing them.
@@ -391,15 +479,23 @@
         newer
     }
 
-    /// A handover is repeated until the new owner is seen to hold the keys.
-    fn forget_used_handovers(&mut self, kept: &target::Kept, map: &range::Map, beat: &Beat) {
-        for (keys, token) in &beat.holds {
-            for number in map.within(keys.clone()) {
-                let stripe = map.get(number);
-                if stripe.is_some_and(|s| s.owner == Some(kept.number) && s.token == *token) {
-                    self.handovers
-                        .swap_remove(&(kept.target.service.clone(), number));
-                }
+    /// A handover is repeated until the new owner is seen to hold the stripe.
+    fn forget_used_handovers(&mut self, kept: &target::Kept, map: &range::Map, beat: &Digest) {
+        let Held::Stripes(held) = &beat.held else {
+            let service = &kept.target.service;
+            self.handovers.retain(|(of, stripe), _| {
+                let owner = map.get(*stripe).and_then(|stripe| stripe.owner);
+                of != service || owner != Some(kept.number)
+            });
+            return;
+        };
+        for number in held {
+            if map
+                .get(*number)
+                .is_some_and(|s| s.owner == Some(kept.number))
+            {
+                self.handovers
+                    .swap_remove(&(kept.target.service.clone(), *number));
             }
         }
     }
--- a/crates/yucca-own/src/site/range.rs
+++ b/crates/yucca-own/src/site/range.rs
@@ -194,7 +194,10 @@
         let token = Token(self.last.0 + 1);
         let mut assigned = Vec::new();
         for (number, presumed) in &wanted.stripes {
-            if self.get(*number).is_none_or(|stripe| stripe.token != *presumed) {
+            if self
+                .get(*number)
+                .is_none_or(|stripe| stripe.token != *presumed)
+            {
                 continue;
             }
             let stripe = Stripe {
@@ -213,7 +216,10 @@
 
     /// Takes a stripe as it is kept elsewhere.
     pub fn adopt(&mut self, number: u32, stripe: Stripe) {
-        if self.get(number).is_some_and(|own| own.token <= stripe.token) {
+        if self
+            .get(number)
+            .is_some_and(|own| own.token <= stripe.token)
+        {
             self.put(number, stripe);
             self.last = self.last.max(stripe.token);
         }
