--- /dev/null
+++ b/crates/yucca-lane/tests/shared_targets.rs
@@ -0,0 +1,247 @@
+//! Decisions of a host that shares its targets with others.
+
+use std::time;
+
+use indexmap::IndexMap;
+use yucca_lane::shared::{service, target, window};
+use yucca_own::site::{range, target as site};
+use yucca_wire::id;
+
+const fn ms(millis: u64) -> time::Duration {
+    time::Duration::from_millis(millis)
+}
+
+fn facts(number: u32, near: bool) -> target::Facts {
+    target::Facts {
+        number: site::Number(number),
+        near,
+        slots: 2,
+        open: true,
+    }
+}
+
+fn request(number: u64) -> service::Request {
+    service::Request {
+        number,
+        key: None,
+        priority: 1,
+        objective_at: ms(400),
+        limit_at: ms(900),
+        tried: Vec::new(),
+    }
+}
+
+fn sent(decisions: &[service::Decision]) -> Vec<(u64, u32)> {
+    decisions
+        .iter()
+        .filter_map(|decision| match decision {
+            service::Decision::Send { number, target, .. } => Some((*number, target.0)),
+            service::Decision::Refuse { .. } => None,
+        })
+        .collect()
+}
+
+#[test]
+fn near_targets_go_first_and_far_ones_before_a_queue() {
+    let mut service = service::Service::default();
+    service.set_targets(&[facts(0, false), facts(1, true)]);
+    let mut targets = Vec::new();
+    for number in 0..4 {
+        targets.extend(sent(&service.arrive(request(number), ms(0))));
+    }
+    assert_eq!(targets, [(0, 1), (1, 1), (2, 0), (3, 0)]);
+}
+
+#[test]
+fn what_finds_no_room_waits_and_goes_by_urgency() {
+    let mut service = service::Service::default();
+    service.set_targets(&[facts(0, true)]);
+    for number in 0..3 {
+        assert_eq!(sent(&service.arrive(request(number), ms(0))).len(), 1);
+    }
+    assert!(service.arrive(request(3), ms(0)).is_empty());
+    let mut urgent = request(4);
+    urgent.priority = 0;
+    assert!(service.arrive(urgent, ms(0)).is_empty());
+    let answered = service::Outcome::Answered(ms(50));
+    let freed = service.finish(site::Number(0), answered, ms(50));
+    assert_eq!(sent(&freed), [(4, 0)]);
+}
+
+#[test]
+fn the_load_of_other_hosts_counts() {
+    let mut service = service::Service::default();
+    service.set_targets(&[facts(0, true), facts(1, true)]);
+    let others = IndexMap::from([(site::Number(0), 3)]);
+    service.set_others(&others, 0.0);
+    assert_eq!(sent(&service.arrive(request(0), ms(0))), [(0, 1)]);
+}
+
+#[test]
+fn a_refused_request_is_told_when_to_return() {
+    let mut service = service::Service::default();
+    service.set_targets(&[]);
+    assert!(service.arrive(request(0), ms(0)).is_empty());
+    let wake = service.next_wake(ms(0));
+    assert_eq!(wake, Some(ms(900)));
+    let decisions = service.dispatch(ms(900));
+    assert!(matches!(
+        decisions.as_slice(),
+        [service::Decision::Refuse { number: 0, .. }]
+    ));
+    assert_eq!(service.waiting(), 0);
+}
+
+/// Load pattern: the owner of a busy key has no room, and a request is sent to it again each
+/// millisecond. The rest after a refusal bounds the repeats.
+#[test]
+fn a_target_without_room_rests() {
+    let mut service = service::Service::default();
+    service.set_targets(&[facts(0, true)]);
+    let mut arrivals = 0;
+    let mut number = 0;
+    for millis in 0..500 {
+        number += 1;
+        let again = if millis == 0 {
+            service.arrive(request(number), ms(millis))
+        } else {
+            service.dispatch(ms(millis))
+        };
+        for (sent, target) in sent(&again) {
+            arrivals += 1;
+            service.finish(site::Number(target), service::Outcome::Shed, ms(millis));
+            let _ = service.arrive(request(sent), ms(millis));
+        }
+    }
+    assert!(arrivals <= 5, "{arrivals} arrivals in half a second");
+}
+
+fn keyed(owner: u32) -> (service::Service, range::Map) {
+    let mut map = range::Map::new(16);
+    map.assign(
+        id::Version(1),
+        &range::Assignment {
+            service: yucca_own::site::item::Name("s".into()),
+            count: 16,
+            owner: site::Number(owner),
+            stripes: (0..16).map(|stripe| (stripe, range::Token(0))).collect(),
+        },
+    );
+    let mut service = service::Service::default();
+    service.set_targets(&[facts(0, true), facts(1, true)]);
+    service.set_map(true, Some(map.clone()));
+    (service, map)
+}
+
+fn with_key(number: u64, key: u16) -> service::Request {
+    service::Request {
+        key: Some(key),
+        ..request(number)
+    }
+}
+
+#[test]
+fn a_key_goes_to_its_owner_only() {
+    let (mut service, _) = keyed(1);
+    assert_eq!(sent(&service.arrive(with_key(0, 7), ms(0))), [(0, 1)]);
+}
+
+#[test]
+fn requests_wait_while_their_stripe_moves() {
+    let (mut service, mut map) = keyed(1);
+    service.move_stripes(&[(0, range::Token(1))], ms(0));
+    assert!(service.arrive(with_key(0, 7), ms(0)).is_empty());
+    map.assign(
+        id::Version(2),
+        &range::Assignment {
+            service: yucca_own::site::item::Name("s".into()),
+            count: 16,
+            owner: site::Number(0),
+            stripes: vec![(0, range::Token(1))],
+        },
+    );
+    service.set_map(true, Some(map));
+    assert_eq!(sent(&service.dispatch(ms(10))), [(0, 0)]);
+}
+
+#[test]
+fn a_denied_stripe_waits_longer_each_time() {
+    let (mut service, _) = keyed(1);
+    let mut arrivals = 0;
+    let mut now = ms(0);
+    let mut decisions = service.arrive(with_key(0, 7), now);
+    while now < ms(850) {
+        for (number, target) in sent(&decisions) {
+            arrivals += 1;
+            let denied = service::Outcome::Denied {
+                key: 7,
+                token: range::Token(1),
+            };
+            service.finish(site::Number(target), denied, now);
+            service.arrive(with_key(number, 7), now);
+        }
+        now += ms(5);
+        decisions = service.dispatch(now);
+    }
+    assert!((2..=6).contains(&arrivals), "{arrivals} arrivals");
+}
+
+#[test]
+fn an_unreachable_target_is_paused_for_longer_each_time() {
+    let mut service = service::Service::default();
+    service.set_targets(&[facts(0, true), facts(1, false)]);
+    service.arrive(request(0), ms(0));
+    service.finish(site::Number(0), service::Outcome::Failed, ms(0));
+    assert_eq!(sent(&service.arrive(request(1), ms(1))), [(1, 1)]);
+    assert!(service.target(site::Number(0)).unwrap().is_usable(ms(450)));
+    service.finish(site::Number(0), service::Outcome::Failed, ms(450));
+    assert!(
+        !service
+            .target(site::Number(0))
+            .unwrap()
+            .is_usable(ms(1_000))
+    );
+}
+
+#[test]
+fn the_budget_holds_in_every_window_over_all_hosts() {
+    let config = window::Config {
+        window: ms(10_000),
+        ratio: 0.2,
+        extra: 60.0,
+    };
+    let hosts = 6;
+    let mut windows = vec![window::Window::new(config); hosts];
+    let mut events: Vec<(time::Duration, bool)> = Vec::new();
+    for step in 0..6_000u64 {
+        let now = ms(step * 5);
+        let window = &mut windows[(step % 6) as usize];
+        // Requests come in waves; every one of them wants three repeats.
+        if (step / 800).is_multiple_of(2) {
+            window.request(now);
+            events.push((now, false));
+        }
+        for _ in 0..3 {
+            if window.repeat(hosts, now) {
+                events.push((now, true));
+            }
+        }
+    }
+    for start in (0..30_000).step_by(250).map(ms) {
+        let inside = |at: &time::Duration| *at >= start && *at < start + config.window;
+        let count = |repeat: bool| {
+            let all = events.iter();
+            all.filter(|(at, is)| *is == repeat && inside(at)).count() as f64
+        };
+        let before = events
+            .iter()
+            .filter(|(at, is)| !is && *at + config.window >= start && *at < start);
+        let requests = count(false).max(before.count() as f64);
+        let allowed = config.ratio * requests + config.extra;
+        assert!(
+            count(true) <= allowed,
+            "from {start:?}: {} of {allowed}",
+            count(true)
+        );
+    }
+}
--- /dev/null
+++ b/crates/yucca-own/tests/item_versions.rs
@@ -0,0 +1,160 @@
+//! Items with a revision each: the highest wins, all or nothing, the same call again.
+
+use bytes::Bytes;
+use std::time;
+use test_case::test_case;
+use yucca_own::site::{Command, Outcome, State, item};
+use yucca_wire::id;
+
+fn service(name: &str, revision: u64) -> item::Item {
+    item::Item {
+        key: item::Key {
+            kind: item::Kind::Service,
+            name: item::Name(name.into()),
+        },
+        revision: item::Revision(revision),
+        body: Some(item::Body::Service(item::Service {
+            keyed: false,
+            connections: 10,
+            warmup: time::Duration::ZERO,
+        })),
+        source: Bytes::from(format!("{name}@{revision}")),
+    }
+}
+
+fn route(name: &str, revision: u64, host: &str, to: &[(&str, u32)]) -> item::Item {
+    let ways = to.iter().map(|(service, weight)| item::Way {
+        service: item::Name((*service).into()),
+        weight: *weight,
+    });
+    item::Item {
+        key: item::Key {
+            kind: item::Kind::Route,
+            name: item::Name(name.into()),
+        },
+        revision: item::Revision(revision),
+        body: Some(item::Body::Route(item::Route {
+            host: host.into(),
+            prefix: "/".into(),
+            idempotent: true,
+            timeout: time::Duration::from_secs(1),
+            objective: time::Duration::from_millis(400),
+            priority: 0,
+            attempts: 2,
+            ways: ways.collect(),
+        })),
+        source: Bytes::from(format!("{name}@{revision}")),
+    }
+}
+
+fn drop_of(mut item: item::Item, revision: u64) -> item::Item {
+    item.revision = item::Revision(revision);
+    item.body = None;
+    item
+}
+
+#[derive(Default)]
+struct Log {
+    state: State,
+    version: u64,
+}
+
+impl Log {
+    fn change(&mut self, items: Vec<item::Item>) -> Outcome {
+        self.version += 1;
+        let patch = item::Patch { items };
+        self.state
+            .apply(id::Version(self.version), Command::Change(patch))
+    }
+
+    fn standing(&self) -> Vec<String> {
+        let items = self.state.items.standing();
+        let mut sources: Vec<String> = items
+            .map(|(_, kept)| String::from_utf8_lossy(&kept.source).into_owned())
+            .collect();
+        sources.sort();
+        sources
+    }
+}
+
+#[test]
+fn the_highest_revision_wins_in_any_order() {
+    let mut log = Log::default();
+    assert_eq!(log.change(vec![service("a", 7)]), Outcome::Done);
+    assert_eq!(log.change(vec![service("a", 5)]), Outcome::Done);
+    assert_eq!(log.standing(), ["a@7"]);
+    assert_eq!(log.change(vec![drop_of(service("a", 0), 9)]), Outcome::Done);
+    assert_eq!(log.change(vec![service("a", 8)]), Outcome::Done);
+    assert!(log.standing().is_empty());
+    assert_eq!(log.change(vec![service("a", 10)]), Outcome::Done);
+    assert_eq!(log.standing(), ["a@10"]);
+}
+
+#[test]
+fn other_content_under_the_same_revision_changes_nothing() {
+    let mut log = Log::default();
+    log.change(vec![service("a", 7)]);
+    let mut other = service("a", 7);
+    other.source = Bytes::from_static(b"other");
+    assert_eq!(log.change(vec![other]), Outcome::Done);
+    assert_eq!(log.standing(), ["a@7"]);
+}
+
+#[test]
+fn a_repeated_call_is_done_again() {
+    let mut log = Log::default();
+    let call = || vec![service("a", 1), route("r", 1, "h", &[("a", 1)])];
+    assert_eq!(log.change(call()), Outcome::Done);
+    let before = log.standing();
+    assert_eq!(log.change(call()), Outcome::Done);
+    assert_eq!(log.standing(), before);
+}
+
+#[test_case(vec![route("r", 2, "h", &[("b", 1)])]; "a service that never was")]
+#[test_case(vec![route("r", 2, "h", &[("a", 0)])]; "no weight")]
+#[test_case(vec![route("r", 2, "", &[("a", 1)])]; "no host")]
+#[test_case(vec![route("q", 2, "h", &[("a", 1)])]; "the place of another route")]
+#[test_case(vec![drop_of(service("a", 0), 2)]; "a service that a route names is dropped")]
+fn an_invalid_call_changes_nothing(bad: Vec<item::Item>) {
+    let mut log = Log::default();
+    log.change(vec![service("a", 1), route("r", 1, "h", &[("a", 1)])]);
+    let before = log.standing();
+    let mut call = vec![service("c", 2)];
+    call.extend(bad);
+    assert!(matches!(log.change(call), Outcome::Refused(_)));
+    assert_eq!(log.standing(), before);
+}
+
+#[test]
+fn an_overtaken_route_may_name_a_dropped_service() {
+    let mut log = Log::default();
+    log.change(vec![service("a", 1), route("r", 1, "h", &[("a", 1)])]);
+    log.change(vec![
+        drop_of(route("r", 0, "h", &[("a", 1)]), 5),
+        drop_of(service("a", 0), 5),
+    ]);
+    let late = vec![route("r", 3, "h", &[("a", 1)])];
+    assert_eq!(log.change(late), Outcome::Done);
+    assert!(log.standing().is_empty());
+}
+
+#[test]
+fn a_follower_gets_what_changed_and_never_goes_back() {
+    let mut log = Log::default();
+    log.change(vec![service("a", 1), route("r", 1, "h", &[("a", 1)])]);
+    let old = log.state.delta(id::Version(0));
+    log.change(vec![drop_of(route("r", 0, "h", &[("a", 1)]), 2)]);
+    let mut follower = State::default();
+    assert!(follower.follow(log.state.delta(id::Version(0))));
+    assert!(!follower.follow(old));
+    assert_eq!(follower.items.standing().count(), 1);
+    assert_eq!(follower.version, log.state.version);
+}
+
+#[test]
+fn a_saved_state_is_restored() {
+    let mut log = Log::default();
+    log.change(vec![service("a", 1), route("r", 1, "h", &[("a", 1)])]);
+    let bytes = log.state.save().unwrap();
+    assert_eq!(State::restore(&bytes).unwrap(), log.state);
+}
--- /dev/null
+++ b/crates/yucca-own/tests/target_lives.rs
@@ -0,0 +1,95 @@
+//! Targets by life: late announcements, restarts, addresses that pass to others.
+
+use yucca_own::site::{Command, State, item, target};
+use yucca_wire::id;
+
+fn target(name: &str, born: u64, port: u16, phase: target::Phase) -> target::Target {
+    target::Target {
+        life: target::Life {
+            name: item::Name(name.into()),
+            born,
+        },
+        service: item::Name("s".into()),
+        address: ([10, 0, 0, 1], port).into(),
+        domain: item::Name("d".into()),
+        slots: 3,
+        phase,
+    }
+}
+
+#[derive(Default)]
+struct Log {
+    state: State,
+    version: u64,
+}
+
+impl Log {
+    fn apply(&mut self, command: Command) {
+        self.version += 1;
+        self.state.apply(id::Version(self.version), command);
+    }
+
+    fn announce(&mut self, target: target::Target) {
+        self.apply(Command::Announce(target));
+    }
+
+    fn phase(&self, name: &str, born: u64) -> Option<target::Phase> {
+        let all = self.state.targets.iter();
+        let mut lives =
+            all.filter(|kept| kept.target.life.name.0 == name && kept.target.life.born == born);
+        lives.next().map(|kept| kept.target.phase)
+    }
+}
+
+#[test]
+fn a_late_announcement_does_not_end_draining() {
+    let mut log = Log::default();
+    log.announce(target("a", 1, 80, target::Phase::Ready));
+    log.announce(target("a", 1, 80, target::Phase::Draining));
+    log.announce(target("a", 1, 80, target::Phase::Ready));
+    assert_eq!(log.phase("a", 1), Some(target::Phase::Draining));
+}
+
+#[test]
+fn one_that_left_stays_so() {
+    let mut log = Log::default();
+    log.announce(target("a", 1, 80, target::Phase::Ready));
+    let life = target("a", 1, 80, target::Phase::Ready).life;
+    log.apply(Command::Leave(life));
+    log.announce(target("a", 1, 80, target::Phase::Ready));
+    assert_eq!(log.phase("a", 1), Some(target::Phase::Left));
+}
+
+#[test]
+fn another_life_ends_the_one_before() {
+    let mut log = Log::default();
+    log.announce(target("a", 1, 80, target::Phase::Ready));
+    log.announce(target("a", 2, 81, target::Phase::Ready));
+    assert_eq!(log.phase("a", 1), Some(target::Phase::Gone));
+    assert_eq!(log.phase("a", 2), Some(target::Phase::Ready));
+    log.announce(target("a", 1, 80, target::Phase::Ready));
+    assert_eq!(log.phase("a", 2), Some(target::Phase::Ready));
+    let latest = log.state.targets.latest(&item::Name("a".into()));
+    assert_eq!(latest.unwrap().target.life.born, 2);
+}
+
+#[test]
+fn a_younger_target_takes_the_address() {
+    let mut log = Log::default();
+    log.announce(target("a", 1, 80, target::Phase::Ready));
+    log.announce(target("b", 2, 80, target::Phase::Ready));
+    assert_eq!(log.phase("a", 1), Some(target::Phase::Gone));
+    log.announce(target("c", 1, 80, target::Phase::Ready));
+    assert_eq!(log.phase("c", 1), None, "an older one can't have it");
+}
+
+#[test]
+fn what_is_known_is_no_news() {
+    let mut log = Log::default();
+    let ready = target("a", 1, 80, target::Phase::Ready);
+    assert!(log.state.targets.is_news(&ready));
+    log.announce(ready.clone());
+    assert!(!log.state.targets.is_news(&ready));
+    let moved = target("a", 1, 81, target::Phase::Ready);
+    assert!(log.state.targets.is_news(&moved));
+}
