Mesh: what was queued before a connection is up is sent; control hosts tell when they are current

Cause: the first vote requests were dropped with the queue when their connection opened, so each candidate waited for another election timeout; and a restarted replica took its own commit for the newest. Ruled out: the disks (all logs were read within 10 ms of the start).

--- a/crates/yucca-control/src/replica.rs
+++ b/crates/yucca-control/src/replica.rs
@@ -74,6 +74,9 @@
     pub applied: id::Version,
     /// The newest version known to be committed.
     pub commit: id::Version,
+    /// Whether an entry of the leader's term is known to be committed, so that `commit` is no older
+    /// than what was agreed on before.
+    pub settled: bool,
     /// The newest membership known.
     pub members: membership::Members,
     /// Whether this replica is a member.
--- a/crates/yucca-control/src/replica/run.rs
+++ b/crates/yucca-control/src/replica/run.rs
@@ -268,6 +268,7 @@
             term: node.term(),
             applied: node.applied(),
             commit: node.commit(),
+            settled: node.is_settled(),
             members: node.members().clone(),
             member: node.members().contains(node.replica()),
             fault: None,
--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -30,10 +30,10 @@
 use crate::settings;
 
 /// How often the leader of the log is heard.
-const HEARTBEAT: time::Duration = time::Duration::from_millis(100);
+const HEARTBEAT: time::Duration = time::Duration::from_millis(80);
 
 /// The shortest silence of a leader after which another one is sought.
-const ELECTION: time::Duration = time::Duration::from_millis(450);
+const ELECTION: time::Duration = time::Duration::from_millis(350);
 
 /// A target that missed so many announcements gets no further keys.
 const SILENT_ANNOUNCEMENTS: u32 = 3;
@@ -170,6 +170,7 @@
             settings,
         });
         core.note_hosts(&hello);
+        core.carrier.dial(&core.settings.seeds);
         let (stop, stopped) = watch::channel(false);
         let mut tasks = task::JoinSet::new();
         tasks.spawn(link::accept(peers, hello, events));
--- a/crates/yucca-fleet/src/control/carry.rs
+++ b/crates/yucca-fleet/src/control/carry.rs
@@ -18,7 +18,7 @@
     hello: message::Hello,
     port: u16,
     events: mpsc::Sender<link::Event>,
-    dialers: sync::Mutex<IndexMap<id::Host, link::Dialer>>,
+    dialers: sync::Mutex<IndexMap<net::IpAddr, link::Dialer>>,
 }
 
 impl Carrier {
@@ -39,20 +39,29 @@
     /// Sends a message without waiting; it may be lost, and who waits for an answer then waits in
     /// vain and tries again.
     pub fn say(&self, to: &id::Host, message: message::Message) {
-        let mut dialers = lock(&self.dialers);
-        if !dialers.contains_key(to) {
-            let Ok(ip) = to.as_str().parse::<net::IpAddr>() else {
-                log::error!("host {to} is not named by an address and can't be reached");
-                return;
-            };
-            let address = net::SocketAddr::new(ip, self.port);
-            let dialer = link::Dialer::start(address, self.hello.clone(), self.events.clone());
-            dialers.insert(to.clone(), dialer);
+        match to.as_str().parse::<net::IpAddr>() {
+            Ok(ip) => {
+                let _ = self.with(ip, |dialer| dialer.send(message));
+            }
+            Err(_) => log::error!("host {to} is not named by an address and can't be reached"),
         }
-        if let Some(dialer) = dialers.get(to) {
-            let _ = dialer.send(message);
+    }
+
+    /// Opens connections to hosts, so that the first message to them need not wait.
+    pub fn dial(&self, ips: &[net::IpAddr]) {
+        for ip in ips.iter().filter(|ip| **ip != self.hello.ip) {
+            self.with(*ip, |_| ());
         }
     }
+
+    fn with<T>(&self, ip: net::IpAddr, then: impl FnOnce(&link::Dialer) -> T) -> T {
+        let mut dialers = lock(&self.dialers);
+        let dialer = dialers.entry(ip).or_insert_with(|| {
+            let address = net::SocketAddr::new(ip, self.port);
+            link::Dialer::start(address, self.hello.clone(), self.events.clone())
+        });
+        then(dialer)
+    }
 }
 
 impl replica::Carrier for Carrier {
--- a/crates/yucca-fleet/src/control/follower.rs
+++ b/crates/yucca-fleet/src/control/follower.rs
@@ -179,7 +179,7 @@
         message::Notice {
             version,
             leader: leader.and_then(|host| host.as_str().parse().ok()),
-            current: standing.member && standing.leader.is_some() && version >= standing.commit,
+            current: standing.member && standing.settled && standing.applied >= standing.commit,
             controls,
             entries,
         }
--- a/crates/yucca-fleet/src/entry/desk.rs
+++ b/crates/yucca-fleet/src/entry/desk.rs
@@ -5,6 +5,7 @@
 use std::time;
 
 use indexmap::IndexMap;
+use rand::Rng;
 use tokio::sync::{Notify, oneshot};
 use yucca_lane::shared::{service, target, window};
 use yucca_own::site::{balance, item, range, target as site};
@@ -33,7 +34,8 @@
             budget,
             counters: sync::Mutex::default(),
             changed: Notify::new(),
-            next: atomic::AtomicU64::new(1),
+            // Hosts draw from different numbers.
+            next: atomic::AtomicU64::new(u64::from(rand::rng().random::<u32>()) << 32),
         }
     }
 
--- a/crates/yucca-fleet/src/mesh/link.rs
+++ b/crates/yucca-fleet/src/mesh/link.rs
@@ -28,6 +28,9 @@
 /// How long opening a connection may take.
 const CONNECT_PATIENCE: time::Duration = time::Duration::from_millis(800);
 
+/// A message that waited for longer until its connection was open is out of date.
+const STALE: time::Duration = time::Duration::from_millis(500);
+
 /// The pause before a connection is opened again.
 const REOPEN_PAUSE: time::Duration = time::Duration::from_millis(120);
 
@@ -77,21 +80,26 @@
 pub struct Link {
     /// The connection.
     pub id: Id,
-    queue: mpsc::Sender<message::Message>,
+    queue: mpsc::Sender<Queued>,
 }
 
+/// A message and when it was queued.
+type Queued = (tokio::time::Instant, message::Message);
+
 impl Link {
     /// Queues a message without waiting. Returns false where the queue is full or the connection
     /// has ended; the message is lost then.
     pub fn send(&self, message: message::Message) -> bool {
-        self.queue.try_send(message).is_ok()
+        self.queue
+            .try_send((tokio::time::Instant::now(), message))
+            .is_ok()
     }
 }
 
 /// A connection that is opened again until this is dropped.
 #[derive(Debug)]
 pub struct Dialer {
-    queue: mpsc::Sender<message::Message>,
+    queue: mpsc::Sender<Queued>,
     task: task::AbortHandle,
 }
 
@@ -112,7 +120,9 @@
 
     /// Queues a message without waiting; it may be lost.
     pub fn send(&self, message: message::Message) -> bool {
-        self.queue.try_send(message).is_ok()
+        self.queue
+            .try_send((tokio::time::Instant::now(), message))
+            .is_ok()
     }
 }
 
@@ -126,16 +136,14 @@
     address: net::SocketAddr,
     hello: message::Hello,
     events: mpsc::Sender<Event>,
-    queue: mpsc::Sender<message::Message>,
-    mut outgoing: mpsc::Receiver<message::Message>,
+    queue: mpsc::Sender<Queued>,
+    mut outgoing: mpsc::Receiver<Queued>,
 ) {
     let mut pause = REOPEN_PAUSE;
     loop {
         let connected = tokio::time::timeout(CONNECT_PATIENCE, TcpStream::connect(address)).await;
         if let Ok(Ok(stream)) = connected {
             pause = REOPEN_PAUSE;
-            // What waited for the connection that ended is out of date.
-            while outgoing.try_recv().is_ok() {}
             let link = new_link(queue.clone());
             let id = link.id;
             let reason = run(stream, &hello, link, &events, &mut outgoing).await;
@@ -174,7 +182,7 @@
     }
 }
 
-fn new_link(queue: mpsc::Sender<message::Message>) -> Link {
+fn new_link(queue: mpsc::Sender<Queued>) -> Link {
     let id = Id(NEXT_ID.fetch_add(1, atomic::Ordering::Relaxed));
     Link { id, queue }
 }
@@ -185,7 +193,7 @@
     hello: &message::Hello,
     link: Link,
     events: &mpsc::Sender<Event>,
-    outgoing: &mut mpsc::Receiver<message::Message>,
+    outgoing: &mut mpsc::Receiver<Queued>,
 ) -> String {
     let id = link.id;
     let mut link = Some(link);
@@ -222,9 +230,12 @@
                 }
             }
             message = outgoing.recv() => {
-                let Some(message) = message else {
+                let Some((queued, message)) = message else {
                     return "no longer needed".into();
                 };
+                if queued.elapsed() > STALE {
+                    continue;
+                }
                 let written = tokio::time::timeout(SILENCE, write(&mut sink, &message)).await;
                 match written {
                     Ok(Ok(())) => sent = tokio::time::Instant::now(),
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -3,6 +3,7 @@
 use std::time;
 
 use indexmap::{IndexMap, IndexSet};
+use xxhash_rust::xxh3;
 use yucca_own::site::{balance, item, range, target as site};
 
 use crate::shared::target;
@@ -218,8 +219,9 @@
             match outcome {
                 Outcome::Answered(took) => target.answered(took),
                 Outcome::Failed => target.failed(now),
-                Outcome::Shed => target.refused(now),
-                Outcome::Denied { .. } | Outcome::Dropped => {}
+                // A target that lost its lease denies all its keys.
+                Outcome::Shed | Outcome::Denied { .. } => target.refused(now),
+                Outcome::Dropped => {}
             }
             target.own = target.own.saturating_sub(1);
         }
@@ -334,17 +336,31 @@
         (room && target.is_usable(now)).then_some((owner, Some(stripe.token)))
     }
 
-    /// Near targets with a free slot go first, then far ones, then those where it would queue.
+    /// Near targets with a free slot go first, then far ones, then those where it would queue. Among
+    /// equals two are drawn and the one that answers sooner is taken, so that hosts which know the
+    /// same do not all choose the same target.
     fn best(&self, request: &Request, now: time::Duration) -> Option<site::Number> {
         let usable = self.targets.values().filter(|target| {
             target.is_usable(now)
                 && target.load() < target.facts.slots + DEPTH
                 && !request.tried.contains(&target.facts.number)
         });
-        let best = usable.min_by_key(|target| {
+        let rank = |target: &&target::Target| {
             let queued = target.load() >= target.facts.slots;
-            (queued, !target.facts.near, target.expected())
-        });
-        best.map(|target| target.facts.number)
+            (queued, !target.facts.near)
+        };
+        let usable: Vec<&target::Target> = usable.collect();
+        let best = usable.iter().map(rank).min()?;
+        let equal: Vec<&&target::Target> = usable.iter().filter(|t| rank(t) == best).collect();
+        let drawn = [0, 1].map(|draw| equal[draw_index(request.number, draw, equal.len())]);
+        let chosen = drawn.into_iter().min_by_key(|target| target.expected());
+        chosen.map(|target| target.facts.number)
     }
 }
+
+/// Draws an index below `count`, from the request's number alone so that equal inputs give equal
+/// decisions.
+fn draw_index(number: u64, draw: u64, count: usize) -> usize {
+    let mixed = xxh3::xxh3_64_with_seed(&number.to_le_bytes(), draw);
+    (mixed % count.max(1) as u64) as usize
+}
--- a/crates/yucca-log/src/node.rs
+++ b/crates/yucca-log/src/node.rs
@@ -180,6 +180,12 @@
         self.commit
     }
 
+    /// Tells whether a leader is known and an entry of its term is known to be committed. Before
+    /// that, what a restarted replica takes for committed may be older than what was agreed on.
+    pub fn is_settled(&self) -> bool {
+        self.leader.is_some() && self.log.term(self.commit) == Some(self.term)
+    }
+
     /// Returns the last position of the log in memory.
     pub fn last(&self) -> entry::Position {
         self.log.last()
--- a/crates/yucca-log/tests/vote_rules.rs
+++ b/crates/yucca-log/tests/vote_rules.rs
@@ -249,3 +249,56 @@
     let result = Err(node::Refusal::Changing);
     assert!(outputs.contains(&node::Output::Proposed { ticket, result }));
 }
+
+/// A replica that restarted with the newest entries must not pass its commit for the newest before
+/// the leader of the term has committed an entry of its own.
+#[test]
+fn a_restarted_replica_is_settled_by_an_entry_of_the_term() {
+    let mut node = replica();
+    let append = |commit: u64, entries: Vec<entry::Entry>| {
+        Body::Append(Append {
+            round: 1,
+            previous: position(1, 2),
+            commit: id::Version(commit),
+            entries,
+        })
+    };
+    deliver(&mut node, "b", 2, append(0, Vec::new()));
+    assert!(node.leader().is_some());
+    assert!(!node.is_settled(), "nothing is known to be committed");
+    deliver(&mut node, "b", 2, append(2, Vec::new()));
+    assert!(!node.is_settled(), "the commit is of an earlier term");
+    let own = entry::Entry {
+        position: position(2, 3),
+        body: entry::Body::Blank,
+    };
+    let outputs = {
+        let message = Message {
+            group: message::Group::new("test"),
+            cluster: Some(entry::Cluster(1)),
+            from: 1,
+            to: Some(1),
+            term: entry::Term(2),
+            body: append(3, vec![own]),
+        };
+        let from = "b".parse().unwrap();
+        node.step(node::Input::Message { from, message }, Duration::ZERO)
+    };
+    for output in outputs {
+        if let node::Output::Persist { sequence, .. } = output {
+            node.step(node::Input::Synced { upto: sequence }, Duration::ZERO);
+        }
+    }
+    deliver(
+        &mut node,
+        "b",
+        2,
+        Body::Append(Append {
+            round: 2,
+            previous: position(2, 3),
+            commit: id::Version(3),
+            entries: Vec::new(),
+        }),
+    );
+    assert!(node.is_settled());
+}
