--- a/crates/yucca-own/src/site/lease.rs
+++ b/crates/yucca-own/src/site/lease.rs
@@ -21,8 +21,8 @@
 /// Added to the end of a lease for timers that fire late.
 const EXPIRY_MARGIN: time::Duration = time::Duration::from_millis(60);
 
-/// The most stripes of one target; a row takes 20 bytes, so that an answer stays under 4 KiB.
-const MAX_STRIPES: u32 = 190;
+/// The most rows of one target; a row takes 20 bytes, so that an answer stays under 4 KiB.
+const MAX_ROWS: u32 = 190;
 
 /// Up to so many stripes a target's claim needs no merging of neighbours to stay under the limit.
 const SCATTERED_STRIPES: u32 = 128;
@@ -207,6 +207,8 @@
     /// Stripes that are about to get another owner, with the one they have. They are not renewed.
     changing: IndexMap<(item::Name, u32), Option<target::Number>>,
     balance: balance::Balance,
+    /// Since when a service always had stripes that could be claimed.
+    free_since: IndexMap<item::Name, time::Duration>,
     /// When the first target of a service was heard.
     first: IndexMap<item::Name, time::Duration>,
 }
@@ -221,6 +223,7 @@
             handovers: IndexMap::new(),
             changing: IndexMap::new(),
             balance: balance::Balance::default(),
+            free_since: IndexMap::new(),
             first: IndexMap::new(),
         }
     }
@@ -298,7 +301,7 @@
         let quota = self.balance.total(service, map) * share;
         let owned: Vec<u32> = self.kept_stripes(service, map, kept.number).collect();
         let mut work = self.balance.sum(service, map, owned.iter().copied());
-        if work >= quota {
+        if work >= quota && !self.free_since.contains_key(service) {
             return None;
         }
         let free = map
@@ -312,14 +315,16 @@
         let group = expected.div_ceil(SCATTERED_STRIPES).next_power_of_two();
         free.sort_by_key(|(number, _)| (scatter(*number / group), *number));
         let room = if eligible.len() > FEW_TARGETS {
-            MAX_STRIPES.saturating_sub(owned.len() as u32)
+            MAX_ROWS.saturating_sub(rows(map, &owned))
         } else {
             range::MAX_STRIPES
         };
+        let spare = self.is_unwanted(service, !free.is_empty(), now);
+        let most = free.len().div_ceil(eligible.len().max(1));
         free.truncate(room as usize);
         let mut taken = 0;
         for (number, _) in &free {
-            if work >= quota {
+            if work >= quota && !(spare && taken < most) {
                 break;
             }
             work += self.balance.weight(service, map, *number);
@@ -342,6 +347,17 @@
         })
     }
 
+    /// Tells whether stripes stay free although all targets have been heard since: those that would
+    /// have them by their share have no room for further rows.
+    fn is_unwanted(&mut self, service: &item::Name, any: bool, now: time::Duration) -> bool {
+        if !any {
+            self.free_since.swap_remove(service);
+            return false;
+        }
+        let since = *self.free_since.entry(service.clone()).or_insert(now);
+        now >= since + self.config.settle
+    }
+
     /// Notes that a claim was agreed on, or surely was not. Where that is not known, leadership is
     /// lost and so is this book.
     pub fn settle(&mut self, claim: &range::Assignment, agreed: bool) {
@@ -439,6 +455,7 @@
         let poorest = eligible
             .iter()
             .filter(|other| other.number != kept.number)
+            .filter(|other| has_room(map, other.number, eligible.len()))
             .map(|other| {
                 let has = self.balance.sum(service, map, map.owned(other.number));
                 has / (total * self.balance.share(other, &eligible))
@@ -564,6 +581,21 @@
     }
 }
 
+/// Tells whether a target has room for further rows.
+fn has_room(map: &range::Map, number: target::Number, targets: usize) -> bool {
+    let owned: Vec<u32> = map.owned(number).collect();
+    targets <= FEW_TARGETS || rows(map, &owned) < MAX_ROWS
+}
+
+/// Returns how many rows some stripes, in order, take: neighbours under one token share a row.
+fn rows(map: &range::Map, stripes: &[u32]) -> u32 {
+    let token = |stripe: u32| map.get(stripe).map(|stripe| stripe.token);
+    let breaks = stripes
+        .windows(2)
+        .filter(|pair| pair[0] + 1 != pair[1] || token(pair[0]) != token(pair[1]));
+    breaks.count() as u32 + u32::from(!stripes.is_empty())
+}
+
 /// Orders stripes so that neighbours are far apart.
 fn scatter(number: u32) -> u64 {
     xxh3::xxh3_64(&number.to_le_bytes())
--- a/crates/yucca-own/src/site/range.rs
+++ b/crates/yucca-own/src/site/range.rs
@@ -21,7 +21,7 @@
 
 /// How many stripes there are for each target when a service is first shared out. Heartbeat answers
 /// of 4 KiB have room for about 190 rows, so a third of the targets may be lost.
-const STRIPES_PER_TARGET: u32 = 120;
+const STRIPES_PER_TARGET: u32 = 100;
 
 /// A fencing token. It only rises for each key.
 #[derive(
--- a/crates/yucca-own/tests/key_leases.rs
+++ b/crates/yucca-own/tests/key_leases.rs
@@ -439,6 +439,43 @@
     }
 }
 
+/// Load pattern: of many targets some are lost, and the fast ones have no room for further rows. The
+/// rest takes what stays free, beyond its share.
+#[test]
+fn no_key_stays_free_where_fast_targets_are_full() {
+    let mut world = World::new(6, config());
+    for number in 5..13u8 {
+        world.targets.push(Held {
+            name: item::Name(format!("t{number}")),
+            born: 1,
+            slots: 3,
+            sequence: 0,
+            next_beat: BEAT * u32::from(number) / 13,
+            holds: IndexMap::new(),
+            released: Vec::new(),
+            highest: IndexMap::new(),
+            alive: true,
+            cut: false,
+            draining: false,
+        });
+    }
+    run(&mut world, time::Duration::from_secs(4));
+    let times = (0..13).map(|number| {
+        let millis = if number % 3 == 0 { 60 } else { 180 };
+        (target::Number(number), 100, 100 * millis * 1_000)
+    });
+    let report = balance::Report {
+        demand: Vec::new(),
+        times: times.collect(),
+    };
+    world.book.report(&report, world.now);
+    for index in 8..13 {
+        world.targets[index].alive = false;
+    }
+    run(&mut world, config().expiry() + BEAT * 12);
+    assert_eq!(world.held_probes(), world.probes.len());
+}
+
 #[test_case(1; "one")]
 #[test_case(1_560; "odd width")]
 #[test_case(8_192; "the most")]
