--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -187,17 +187,28 @@
     }
 
     /// Hands leadership over, lets open requests end and stops.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         self.core.replica.hand_over(HAND_OVER_PATIENCE).await;
         // The receivers are gone only when the server has ended.
         self.stop.send(true).ok();
         let patience = self.core.settings.timing.stop.0 / 4;
-        if tokio::time::timeout(patience, self.server).await.is_err() {
+        if tokio::time::timeout(patience, &mut self.server)
+            .await
+            .is_err()
+        {
             log::warn!("requests were still open at the end");
         }
     }
 }
 
+impl Drop for Process {
+    /// Ends at once, as a killed process does.
+    fn drop(&mut self) {
+        self.server.abort();
+        self.core.replica.abort();
+    }
+}
+
 impl Core {
     /// Returns the settings of the leases.
     fn lease_config(&self) -> lease::Config {
--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -137,19 +137,29 @@
     }
 
     /// Says that it is not ready, lets balancers notice, lets open requests end and stops.
-    pub async fn stop(self) {
+    pub async fn stop(mut self) {
         self.core.stopping.send_replace(true);
         tokio::time::sleep(LINGER).await;
         // The receivers are gone only when the server has ended.
         self.stop.send(true).ok();
         let stop = self.core.settings.timing.stop.0;
         let patience = stop.saturating_sub(LINGER + END_MARGIN);
-        if tokio::time::timeout(patience, self.server).await.is_err() {
+        if tokio::time::timeout(patience, &mut self.server)
+            .await
+            .is_err()
+        {
             log::warn!("requests were still open at the end");
         }
     }
 }
 
+impl Drop for Process {
+    /// Ends at once, as a killed process does.
+    fn drop(&mut self) {
+        self.server.abort();
+    }
+}
+
 impl Core {
     fn is_ready(&self) -> bool {
         *self.synced.borrow() && !*self.stopping.borrow()
