--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -26,6 +26,7 @@
 use crate::clock;
 use crate::dialect::operator;
 use crate::mesh::{link, message};
+use crate::metric;
 use crate::server;
 use crate::settings;
 
@@ -132,6 +133,7 @@
             ip: settings.ip,
             domain: settings.domain.clone(),
         };
+        metric::start(settings.addresses.metrics).await?;
         let callers = listen(operator).await?;
         let peers = listen(settings.addresses.mesh).await?;
         let (events, received) = mpsc::channel(EVENTS);
@@ -186,6 +188,12 @@
         })
     }
 
+    /// Takes in other seeds, as the settings now name them.
+    pub fn reseed(&self, seeds: &[net::IpAddr]) {
+        log::info!("seeds={seeds:?} in force");
+        self.core.carrier.dial(seeds);
+    }
+
     /// Hands leadership over, lets open requests end and stops.
     pub async fn stop(mut self) {
         self.core.replica.hand_over(HAND_OVER_PATIENCE).await;
--- a/crates/yucca-fleet/src/control/call.rs
+++ b/crates/yucca-fleet/src/control/call.rs
@@ -40,7 +40,14 @@
     ) -> future::BoxFuture<'static, Response<Full<Bytes>>> {
         Box::pin(async move {
             let path = request.uri().path().to_owned();
+            let start = self.0.clock.now();
             let answer = self.0.clone().answer(request).await;
+            let took = self.0.clock.now().saturating_sub(start);
+            metrics::histogram!("yucca_fleet_call_seconds").record(took.as_secs_f64());
+            if let operator::Answer::Unavailable(reason) = &answer {
+                log::warn!("call path={path} took={took:?} unavailable: {reason}");
+                metrics::counter!("yucca_fleet_calls_unavailable_total").increment(1);
+            }
             self.0.dialect.write(&path, &answer).map(Full::new)
         })
     }
--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -28,6 +28,7 @@
 use crate::control;
 use crate::dialect::{caller, target};
 use crate::mesh::message;
+use crate::metric;
 use crate::server;
 use crate::settings;
 
@@ -58,6 +59,8 @@
     /// Whether the newest state was seen.
     synced: watch::Sender<bool>,
     stopping: watch::Sender<bool>,
+    /// The seeds, as the settings last named them.
+    seeds: watch::Sender<Vec<net::IpAddr>>,
     /// The most entry hosts that were seen lately, this one included.
     hosts: sync::Mutex<peak::Peak>,
     /// The other entry hosts.
@@ -97,6 +100,7 @@
         let address = settings.addresses.mesh;
         let digests = UdpSocket::bind(address).await;
         let digests = digests.map_err(|error| control::Error::Listen { address, error })?;
+        metric::start(settings.addresses.metrics).await?;
         let retries = settings.retries;
         let core = sync::Arc::new(Core {
             desk: sync::Arc::new(desk::Desk::new(window::Config {
@@ -104,6 +108,7 @@
                 ratio: retries.ratio,
                 extra: retries.extra,
             })),
+            seeds: watch::Sender::new(settings.seeds.clone()),
             settings,
             caller,
             target,
@@ -136,6 +141,11 @@
         })
     }
 
+    /// Takes in other seeds, as the settings now name them.
+    pub fn reseed(&self, seeds: Vec<net::IpAddr>) {
+        self.core.seeds.send_replace(seeds);
+    }
+
     /// Says that it is not ready, lets balancers notice, lets open requests end and stops.
     pub async fn stop(mut self) {
         self.core.stopping.send_replace(true);
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -65,8 +65,8 @@
         newest: None,
         core,
     };
-    let seeds = follower.core.settings.seeds.clone();
-    follower.dial(&seeds);
+    let mut seeds = follower.core.seeds.subscribe();
+    seeds.mark_changed();
     let mut reports = tokio::time::interval(REPORT_INTERVAL);
     reports.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
     loop {
@@ -78,6 +78,11 @@
                 None => return,
             },
             _ = reports.tick() => follower.report(),
+            Ok(()) = seeds.changed() => {
+                let named = seeds.borrow_and_update().clone();
+                log::info!("seeds={named:?} in force");
+                follower.dial(&named);
+            }
         }
     }
 }
@@ -96,7 +101,7 @@
                 }
             }
         }
-        let seeds = &self.core.settings.seeds;
+        let seeds = self.core.seeds.borrow();
         self.dialers
             .retain(|ip, (_, named)| now < *named + FORGET_AFTER || seeds.contains(ip));
     }
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -1,5 +1,6 @@
 //! The way of one request of a caller.
 
+use std::fmt::Write;
 use std::sync;
 use std::time;
 
@@ -188,7 +189,9 @@
     async fn run(self: &sync::Arc<Self>, job: &Job, trail: &mut Trail) -> Response<Bytes> {
         let mut last = caller::Refusal::NotRun(time::Duration::ZERO);
         loop {
+            let asked = self.clock.now();
             let decided = self.decide(job, trail).await;
+            trail.waited += self.clock.now().saturating_sub(asked);
             let (target, token) = match decided {
                 Some(service::Decision::Send { target, token, .. }) => (target, token),
                 Some(service::Decision::Refuse { retry_after, .. }) => {
@@ -233,6 +236,7 @@
             number: 0,
             key: job.head.key,
             priority: job.route.route.priority,
+            arrived: job.arrived,
             objective_at: job.arrived + job.route.route.objective,
             limit_at: job.limit_at,
             tried: trail.tried.clone(),
@@ -372,6 +376,8 @@
 struct Trail {
     tried: Vec<site::Number>,
     sent: u32,
+    /// How long it waited for a target in all.
+    waited: time::Duration,
     notes: String,
 }
 
@@ -380,21 +386,28 @@
         if !self.notes.is_empty() {
             self.notes.push_str("; ");
         }
-        self.notes.push_str(&format!("{target}: {what}"));
+        // Writing to a text does not fail.
+        let _ = write!(self.notes, "{target}: {what}");
     }
 
     fn log(&self, core: &Core, job: &Job, status: http::StatusCode) {
         let took = core.clock.now().saturating_sub(job.arrived);
+        let status_text = status.as_u16().to_string();
+        metrics::counter!("yucca_entry_requests_total", "status" => status_text).increment(1);
+        metrics::histogram!("yucca_entry_request_seconds").record(took.as_secs_f64());
+        metrics::counter!("yucca_entry_attempts_total").increment(u64::from(self.sent));
         log::info!(
-            "request={} route={}@{} service={} key={:?} patience={:?} took={took:?} status={} sent={} [{}]",
+            "request={} route={}@{} service={} key={:?} patience={:?} version={} took={took:?} status={} sent={} waited={:?} [{}]",
             String::from_utf8_lossy(&job.head.id),
             job.route.name,
             job.route.revision,
             job.service,
             job.head.key,
             job.head.patience,
+            core.view.load().version,
             status.as_u16(),
             self.sent,
+            self.waited,
             self.notes
         );
     }
--- a/crates/yucca-fleet/src/lib.rs
+++ b/crates/yucca-fleet/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod entry;
 pub mod journal;
 pub mod mesh;
+pub mod metric;
 pub mod server;
 pub mod settings;
--- /dev/null
+++ b/crates/yucca-fleet/src/metric.rs
@@ -0,0 +1,60 @@
+//! The metrics of the process, served for Prometheus.
+
+use std::sync;
+use std::time;
+
+use bytes::Bytes;
+use futures_util::future;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body;
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+use yucca_control::process::metric;
+
+use crate::control::Error;
+use crate::server;
+
+/// The longest wait for a head.
+const IDLE: time::Duration = time::Duration::from_secs(30);
+
+/// The most bytes of a head.
+const HEAD_BYTES: usize = 8 << 10;
+
+/// Starts to record metrics and to serve them, where the settings give an address.
+///
+/// # Errors
+/// Fails where the address is taken.
+pub async fn start(address: Option<std::net::SocketAddr>) -> Result<(), Error> {
+    let Some(address) = address else {
+        return Ok(());
+    };
+    metric::install();
+    let bound = TcpListener::bind(address).await;
+    let listener = bound.map_err(|error| Error::Listen { address, error })?;
+    tokio::spawn(async move {
+        let (_never, stop) = watch::channel(false);
+        server::serve(listener, sync::Arc::new(Handler), stop).await;
+    });
+    Ok(())
+}
+
+struct Handler;
+
+impl server::Handler for Handler {
+    fn handle(
+        self: sync::Arc<Self>,
+        _request: Request<body::Incoming>,
+    ) -> future::BoxFuture<'static, Response<Full<Bytes>>> {
+        let text = metric::render();
+        Box::pin(future::ready(Response::new(Full::new(text.into()))))
+    }
+
+    fn head_patience(&self) -> time::Duration {
+        IDLE
+    }
+
+    fn head_bytes(&self) -> usize {
+        HEAD_BYTES
+    }
+}
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -26,6 +26,9 @@
 /// The part of the time left after which a refused caller should return.
 const RETURN_SHARE: u32 = 3;
 
+/// What can't be in time when it comes waits for this part of the time that it has.
+const WAIT_DIVISOR: u32 = 4;
+
 /// A request that waits for a target.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Request {
@@ -35,6 +38,8 @@
     pub key: Option<u16>,
     /// The rank; 0 is the most urgent.
     pub priority: u8,
+    /// When it came.
+    pub arrived: time::Duration,
     /// When an answer stops being worth the most.
     pub objective_at: time::Duration,
     /// When the caller gives up, or may be kept waiting no longer.
@@ -250,7 +255,10 @@
 
     /// Returns the time at which [`Service::dispatch`] has something to do by itself.
     pub fn next_wake(&self, now: time::Duration) -> Option<time::Duration> {
-        let limits = self.waiting.values().map(|request| request.limit_at);
+        let limits = self
+            .waiting
+            .values()
+            .map(|request| self.give_up_at(request));
         let denied = self.denied.values().map(|denial| denial.until);
         let paused = self.targets.values().map(|target| target.paused_until);
         let waits = !self.waiting.is_empty();
@@ -286,7 +294,7 @@
                     target,
                     token,
                 });
-            } else if request.limit_at <= now + self.shortest(request) {
+            } else if self.give_up_at(request) <= now {
                 let left = request.limit_at.saturating_sub(now);
                 self.waiting.shift_remove(&number);
                 decisions.push(Decision::Refuse {
@@ -298,12 +306,18 @@
         decisions
     }
 
-    /// Returns the shortest time in which the request could be answered once it is sent.
-    fn shortest(&self, request: &Request) -> time::Duration {
+    /// Returns when a request that waits is refused. Load pattern: at a crest more work comes than
+    /// targets can do, for seconds. What can't be in time any more then waits in vain, since what
+    /// can still be goes first; its caller does better to return after the crest.
+    fn give_up_at(&self, request: &Request) -> time::Duration {
         let targets = self.targets.values();
-        let fastest = targets.map(target::Target::time).min();
-        let left = request.limit_at.saturating_sub(request.objective_at);
-        fastest.unwrap_or_default().min(left)
+        let time = targets.map(target::Target::time).min().unwrap_or_default();
+        let in_time = request.objective_at.saturating_sub(time);
+        let left = request.limit_at.saturating_sub(request.arrived);
+        let patience = request.arrived + left / WAIT_DIVISOR;
+        in_time
+            .max(patience)
+            .min(request.limit_at.saturating_sub(time))
     }
 
     /// Returns the target that a request should go to now.
