--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -308,16 +308,35 @@
 
     /// Returns when a request that waits is refused. Load pattern: at a crest more work comes than
     /// targets can do, for seconds. What can't be in time any more then waits in vain, since what
-    /// can still be goes first; its caller does better to return after the crest.
+    /// can still be goes first; its caller does better to return after the crest. A key that
+    /// changes hands is served again within a heartbeat, so requests for it wait as long as they
+    /// can.
     fn give_up_at(&self, request: &Request) -> time::Duration {
         let targets = self.targets.values();
         let time = targets.map(target::Target::time).min().unwrap_or_default();
+        let latest = request.limit_at.saturating_sub(time);
+        if self.is_between_owners(request) {
+            return latest;
+        }
         let in_time = request.objective_at.saturating_sub(time);
         let left = request.limit_at.saturating_sub(request.arrived);
         let patience = request.arrived + left / WAIT_DIVISOR;
-        in_time
-            .max(patience)
-            .min(request.limit_at.saturating_sub(time))
+        in_time.max(patience).min(latest)
+    }
+
+    /// Tells whether a request waits for its key to have an owner.
+    fn is_between_owners(&self, request: &Request) -> bool {
+        let (true, Some(key)) = (self.keyed, request.key) else {
+            return false;
+        };
+        let Some(map) = &self.map else {
+            return true;
+        };
+        let number = map.stripe_of(key);
+        let stripe = map.get(number).copied().unwrap_or_default();
+        let denied = self.denied.get(&number);
+        denied.is_some_and(|denial| denial.token == stripe.token)
+            || stripe.owner.is_none_or(|owner| !self.targets.contains_key(&owner))
     }
 
     /// Returns the target that a request should go to now.
--- a/crates/yucca-lane/tests/shared_targets.rs
+++ b/crates/yucca-lane/tests/shared_targets.rs
@@ -165,6 +165,32 @@
     assert_eq!(sent(&service.dispatch(ms(10))), [(0, 0)]);
 }
 
+/// Load pattern: an owner gives a stripe away, and the next one takes it with its own heartbeat, later
+/// than the objective. Refused at the objective, all its requests would come back at once.
+#[test]
+fn a_request_for_a_moving_stripe_is_not_refused_early() {
+    let (mut service, _) = keyed(1);
+    service.move_stripes(&[(0, range::Token(1))], ms(0));
+    service.arrive(with_key(0, 7), ms(0));
+    assert!(service.dispatch(ms(500)).is_empty());
+    assert_eq!(service.waiting(), 1);
+}
+
+/// Load pattern: a crest. What can't be in time any more is refused, though its limit is far.
+#[test]
+fn what_waits_for_room_is_refused_once_it_is_late() {
+    let mut service = service::Service::default();
+    service.set_targets(&[facts(0, true)]);
+    for number in 0..4 {
+        service.arrive(request(number), ms(0));
+    }
+    let decisions = service.dispatch(ms(300));
+    assert!(
+        matches!(decisions.as_slice(), [service::Decision::Refuse { number: 3, .. }]),
+        "{decisions:?}"
+    );
+}
+
 #[test]
 fn a_denied_stripe_waits_longer_each_time() {
     let (mut service, _) = keyed(1);
