--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -336,7 +336,9 @@
         let stripe = map.get(number).copied().unwrap_or_default();
         let denied = self.denied.get(&number);
         denied.is_some_and(|denial| denial.token == stripe.token)
-            || stripe.owner.is_none_or(|owner| !self.targets.contains_key(&owner))
+            || stripe
+                .owner
+                .is_none_or(|owner| !self.targets.contains_key(&owner))
     }
 
     /// Returns the target that a request should go to now.
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -109,7 +109,13 @@
     }
 
     /// Takes in that it had no room, and pauses it until a slot should be free; for longer each time.
+    /// Load pattern: a faulty target refuses a part of its requests with slots free. Paused like a
+    /// full one it would stand idle, so it rests for the shortest time only.
     pub fn refused(&mut self, now: time::Duration) {
+        if self.load() <= self.facts.slots {
+            self.paused_until = self.paused_until.max(now + SHORTEST_REST);
+            return;
+        }
         let rest = self.time() / self.facts.slots.max(1);
         let rest = rest.max(SHORTEST_REST) * 2u32.saturating_pow(self.refusals.min(3));
         self.refusals = self.refusals.saturating_add(1);
--- a/crates/yucca-lane/tests/shared_targets.rs
+++ b/crates/yucca-lane/tests/shared_targets.rs
@@ -99,6 +99,7 @@
 fn a_target_without_room_rests() {
     let mut service = service::Service::default();
     service.set_targets(&[facts(0, true)]);
+    service.set_others(&IndexMap::from([(site::Number(0), 2)]), 0.0);
     let mut arrivals = 0;
     let mut number = 0;
     for millis in 0..500 {
@@ -117,6 +118,18 @@
     assert!(arrivals <= 5, "{arrivals} arrivals in half a second");
 }
 
+/// Load pattern: a faulty target refuses half of its requests while its slots are free.
+#[test]
+fn a_target_that_refuses_with_slots_free_is_tried_again_soon() {
+    let mut service = service::Service::default();
+    service.set_targets(&[facts(0, true)]);
+    for round in 0..6u64 {
+        let now = ms(round * 30);
+        assert_eq!(sent(&service.arrive(request(round), now)), [(round, 0)]);
+        service.finish(site::Number(0), service::Outcome::Shed, now);
+    }
+}
+
 fn keyed(owner: u32) -> (service::Service, range::Map) {
     let mut map = range::Map::new(16);
     map.assign(
@@ -186,7 +199,10 @@
     }
     let decisions = service.dispatch(ms(300));
     assert!(
-        matches!(decisions.as_slice(), [service::Decision::Refuse { number: 3, .. }]),
+        matches!(
+            decisions.as_slice(),
+            [service::Decision::Refuse { number: 3, .. }]
+        ),
         "{decisions:?}"
     );
 }
