--- a/crates/yucca-fleet/src/control/follower.rs
+++ b/crates/yucca-fleet/src/control/follower.rs
@@ -1,9 +1,11 @@
 //! Tells those who follow the state of its newest version, and what changed when they ask.
 
+use std::collections::BTreeSet;
 use std::net;
 use std::sync;
 use std::time;
 
+use indexmap::IndexMap;
 use tokio::sync::mpsc;
 use yucca_control::directory;
 use yucca_own::site::{item, range};
@@ -18,14 +20,31 @@
 /// How long versions are gathered before followers are told of the newest, for each follower.
 const GATHER: time::Duration = time::Duration::from_millis(1);
 
+/// How often followers in other domains are told at the most, as bytes between domains are dear. They
+/// hear of versions from a control host of their own domain first.
+const FAR_INTERVAL: time::Duration = time::Duration::from_millis(250);
+
 /// Who is connected to this process.
 #[derive(Debug)]
 pub struct Follower {
     peer: message::Hello,
     link: link::Link,
+    /// When it was last told of a version.
+    told: time::Duration,
+    /// The hosts that it was told of.
+    hosts: message::Hosts,
 }
 
 impl Follower {
+    /// Tells of the version, and of the hosts where they have changed. One that reads too slowly
+    /// hears the next notice.
+    fn tell(&mut self, notice: &message::Notice, hosts: message::Hosts) {
+        if self.hosts != hosts && self.link.send(message::Message::Hosts(hosts.clone())) {
+            self.hosts = hosts;
+        }
+        let _ = self.link.send(message::Message::Notice(notice.clone()));
+    }
+
     /// Returns who it is.
     pub fn peer(&self) -> &message::Hello {
         &self.peer
@@ -61,7 +80,13 @@
         }
         let id = link.id;
         let entry = peer.role == message::Role::Entry;
-        lock(&self.followers).insert(id, Follower { peer, link });
+        let follower = Follower {
+            peer,
+            link,
+            told: time::Duration::ZERO,
+            hosts: message::Hosts::default(),
+        };
+        lock(&self.followers).insert(id, follower);
         if entry {
             self.tell();
         }
@@ -101,6 +126,7 @@
             message::Message::Hello(_)
             | message::Message::Ping
             | message::Message::Notice(_)
+            | message::Message::Hosts(_)
             | message::Message::Moving { .. }
             | message::Message::Delta(_) => {}
         }
@@ -139,10 +165,27 @@
 
     fn tell(&self) {
         let notice = self.notice();
-        for follower in lock(&self.followers).values() {
+        let standing = self.replica.standing();
+        let members = standing.members.iter();
+        let controls = members.filter_map(|member| member.host.as_str().parse().ok());
+        let controls: Vec<net::IpAddr> = controls.collect();
+        let now = self.clock.now();
+        let mut followers = lock(&self.followers);
+        let domains = entries_by_domain(followers.values());
+        let entries = domains.values().map(BTreeSet::len).sum();
+        for follower in followers.values_mut() {
             if follower.peer.role == message::Role::Entry {
-                // One that reads too slowly hears the next notice.
-                let _ = follower.link.send(message::Message::Notice(notice.clone()));
+                let near = follower.peer.domain == self.settings.domain;
+                if near || now >= follower.told + FAR_INTERVAL {
+                    follower.told = now;
+                    let near = domains.get(&follower.peer.domain);
+                    let hosts = message::Hosts {
+                        controls: controls.clone(),
+                        near: near.into_iter().flatten().copied().collect(),
+                        entries,
+                    };
+                    follower.tell(&notice, hosts);
+                }
             }
         }
     }
@@ -163,25 +206,24 @@
 
     fn notice(&self) -> message::Notice {
         let standing = self.replica.standing();
-        let version = lock(&self.machine).state.version;
-        let members = standing.members.iter();
-        let controls = members.filter_map(|member| member.host.as_str().parse().ok());
-        let controls: Vec<net::IpAddr> = controls.collect();
-        let followers = lock(&self.followers);
-        let mut entries: Vec<(net::IpAddr, id::Domain)> = followers
-            .values()
-            .filter(|follower| follower.peer.role == message::Role::Entry)
-            .map(|follower| (follower.peer.ip, follower.peer.domain.clone()))
-            .collect();
-        entries.sort();
-        entries.dedup();
         let leader = standing.leader.as_ref();
         message::Notice {
-            version,
+            version: lock(&self.machine).state.version,
             leader: leader.and_then(|host| host.as_str().parse().ok()),
             current: standing.member && standing.settled && standing.applied >= standing.commit,
-            controls,
-            entries,
         }
     }
 }
+
+fn entries_by_domain<'a>(
+    followers: impl Iterator<Item = &'a Follower>,
+) -> IndexMap<id::Domain, BTreeSet<net::IpAddr>> {
+    let mut domains: IndexMap<id::Domain, BTreeSet<net::IpAddr>> = IndexMap::new();
+    for follower in followers {
+        if follower.peer.role == message::Role::Entry {
+            let domain = domains.entry(follower.peer.domain.clone()).or_default();
+            domain.insert(follower.peer.ip);
+        }
+    }
+    domains
+}
--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -64,7 +64,7 @@
     /// The most entry hosts that were seen lately, this one included.
     hosts: sync::Mutex<peak::Peak>,
     /// The other entry hosts.
-    peers: ArcSwap<Vec<gossip::Peer>>,
+    peers: ArcSwap<gossip::Peers>,
 }
 
 /// A running entry process.
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -44,7 +44,9 @@
 struct Control {
     link: link::Link,
     peer: message::Hello,
-    entries: Vec<(net::IpAddr, id::Domain)>,
+    /// The version that it last told of.
+    version: id::Version,
+    hosts: message::Hosts,
 }
 
 /// Follows the state until the process ends.
@@ -77,7 +79,7 @@
                 Some(link::Event::Message { id, message }) => follower.note_message(id, message),
                 None => return,
             },
-            _ = reports.tick() => follower.report(),
+            _ = reports.tick() => follower.tick(),
             Ok(()) = seeds.changed() => {
                 let named = seeds.borrow_and_update().clone();
                 log::info!("seeds={named:?} in force");
@@ -106,6 +108,18 @@
             .retain(|ip, (_, named)| now < *named + FORGET_AFTER || seeds.contains(ip));
     }
 
+    fn tick(&mut self) {
+        let controls: IndexSet<net::IpAddr> = self
+            .links
+            .values()
+            .flat_map(|control| control.hosts.controls.iter().copied())
+            .collect();
+        let controls: Vec<net::IpAddr> = controls.into_iter().collect();
+        self.dial(&controls);
+        self.pull();
+        self.report();
+    }
+
     /// Reports what was measured to the leader. What can't be sent is lost, as the next report says
     /// more.
     fn report(&mut self) {
@@ -124,7 +138,8 @@
         log::info!("control={} connection={} opened", peer.host, link.id);
         let control = Control {
             peer,
-            entries: Vec::new(),
+            version: id::Version::default(),
+            hosts: message::Hosts::default(),
             link,
         };
         self.links.insert(control.link.id, control);
@@ -143,7 +158,8 @@
 
     fn note_message(&mut self, id: link::Id, message: message::Message) {
         match message {
-            message::Message::Notice(notice) => self.note_notice(id, notice),
+            message::Message::Notice(notice) => self.note_notice(id, &notice),
+            message::Message::Hosts(hosts) => self.note_hosts(id, hosts),
             message::Message::Delta(delta) => self.note_delta(*delta),
             message::Message::Moving { service, stripes } => {
                 self.core
@@ -160,29 +176,48 @@
         }
     }
 
-    fn note_notice(&mut self, id: link::Id, notice: message::Notice) {
-        let now = self.core.clock.now();
-        self.dial(&notice.controls);
+    fn note_hosts(&mut self, id: link::Id, hosts: message::Hosts) {
+        self.dial(&hosts.controls);
         if let Some(control) = self.links.get_mut(&id) {
-            control.entries = notice.entries;
+            control.hosts = hosts;
         }
         self.share_peers();
+    }
+
+    /// The state is pulled from a control host of this domain at once, and from others where that
+    /// has not brought the newest version by the next tick.
+    fn note_notice(&mut self, id: link::Id, notice: &message::Notice) {
         if notice.current {
             self.leader = notice.leader;
             self.newest = self.newest.max(Some(notice.version));
         }
-        let asked = self.pulled.is_some_and(|at| now < at + PULL_PATIENCE);
-        if notice.version > self.state.version && !asked {
-            let have = self.state.version;
-            if let Some(control) = self.links.get(&id)
-                && control.link.send(message::Message::Pull { have })
-            {
-                self.pulled = Some(now);
+        let own = &self.core.settings.domain;
+        let is_near = |control: &Control| control.peer.domain == *own;
+        let near = self.links.values().any(is_near);
+        if let Some(control) = self.links.get_mut(&id) {
+            control.version = notice.version;
+            if !near || is_near(control) {
+                self.pull();
             }
         }
         self.note_synced();
     }
 
+    /// Asks for what is newer than this host's version, first in this domain.
+    fn pull(&mut self) {
+        let now = self.core.clock.now();
+        let have = self.state.version;
+        let asked = self.pulled.is_some_and(|at| now < at + PULL_PATIENCE);
+        let own = &self.core.settings.domain;
+        let newer = self.links.values().filter(|control| control.version > have);
+        let best = newer.min_by_key(|control| control.peer.domain != *own);
+        if let (Some(control), false) = (best, asked)
+            && control.link.send(message::Message::Pull { have })
+        {
+            self.pulled = Some(now);
+        }
+    }
+
     fn note_delta(&mut self, delta: delta::Delta) {
         self.pulled = None;
         let to = delta.to;
@@ -238,20 +273,15 @@
     /// Shares the other entry hosts, as all control hosts together see them.
     fn share_peers(&self) {
         let own = self.core.settings.ip;
-        let entries: IndexSet<&(net::IpAddr, id::Domain)> = self
-            .links
-            .values()
-            .flat_map(|control| &control.entries)
-            .filter(|(ip, _)| *ip != own)
-            .collect();
-        let peers: Vec<gossip::Peer> = entries
-            .into_iter()
-            .map(|(ip, domain)| gossip::Peer {
-                ip: *ip,
-                near: *domain == self.core.settings.domain,
-            })
-            .collect();
-        lock(&self.core.hosts).note(peers.len() + 1, self.core.clock.now());
+        let controls = self.links.values();
+        let near = controls.clone().flat_map(|control| &control.hosts.near);
+        let near: IndexSet<net::IpAddr> = near.filter(|ip| **ip != own).copied().collect();
+        let entries = controls.map(|control| control.hosts.entries).max();
+        let peers = gossip::Peers {
+            far: entries.unwrap_or(0).saturating_sub(near.len() + 1),
+            near,
+        };
+        lock(&self.core.hosts).note(peers.count() + 1, self.core.clock.now());
         if peers != **self.core.peers.load() {
             self.core.peers.store(sync::Arc::new(peers));
         }
--- a/crates/yucca-fleet/src/entry/gossip.rs
+++ b/crates/yucca-fleet/src/entry/gossip.rs
@@ -4,7 +4,7 @@
 use std::sync;
 use std::time;
 
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use tokio::net::UdpSocket;
 use yucca_own::site::target;
 
@@ -26,13 +26,20 @@
 /// The most bytes of a datagram.
 const MAX_BYTES: usize = 8 << 10;
 
-/// Another entry host.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Peer {
-    /// Its address.
-    pub ip: net::IpAddr,
-    /// Whether it is in this host's domain.
-    pub near: bool,
+/// The other entry hosts.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Peers {
+    /// Those in this host's domain.
+    pub near: IndexSet<net::IpAddr>,
+    /// How many there are in other domains.
+    pub far: usize,
+}
+
+impl Peers {
+    /// Returns how many there are.
+    pub fn count(&self) -> usize {
+        self.near.len() + self.far
+    }
 }
 
 /// What another host last said.
@@ -95,8 +102,7 @@
     fn tell(&mut self, core: &Core, socket: &UdpSocket) {
         let now = core.clock.now();
         let peers = core.peers.load();
-        let near = peers.iter().filter(|peer| peer.near).count();
-        let pause = time::Duration::from_secs_f64(near as f64 / MAX_RATE);
+        let pause = time::Duration::from_secs_f64(peers.near.len() as f64 / MAX_RATE);
         if now < self.told_at + pause {
             return;
         }
@@ -114,8 +120,8 @@
         };
         match rmp_serde::to_vec(&load) {
             Ok(datagram) => {
-                for peer in peers.iter().filter(|peer| peer.near) {
-                    let address = core.settings.mesh_of(peer.ip);
+                for ip in &peers.near {
+                    let address = core.settings.mesh_of(*ip);
                     // A digest that can't be sent is as good as one that was lost.
                     socket.try_send_to(&datagram, address).ok();
                 }
@@ -154,8 +160,6 @@
         }
     }
     let peers = core.peers.load();
-    let far = peers.iter().filter(|peer| !peer.near).count();
-    let known = peers.len() - far + 1;
-    core.desk
-        .set_others(&others, far as f64 / known as f64, now);
+    let far = peers.far as f64 / (peers.near.len() + 1) as f64;
+    core.desk.set_others(&others, far, now);
 }
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -247,7 +247,7 @@
 
     fn may_repeat(&self, job: &Job) -> bool {
         let now = self.clock.now();
-        let hosts = lock(&self.hosts).note(self.peers.load().len() + 1, now);
+        let hosts = lock(&self.hosts).note(self.peers.load().count() + 1, now);
         self.desk.repeat(&job.service, hosts, now)
     }
 
--- a/crates/yucca-fleet/src/mesh/message.rs
+++ b/crates/yucca-fleet/src/mesh/message.rs
@@ -39,10 +39,17 @@
     pub current: bool,
     /// The leader of the log, where it is known.
     pub leader: Option<net::IpAddr>,
+}
+
+/// The hosts that a control host knows of, for one follower.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Hosts {
     /// The control hosts.
     pub controls: Vec<net::IpAddr>,
-    /// The entry hosts with their failure domains.
-    pub entries: Vec<(net::IpAddr, id::Domain)>,
+    /// The entry hosts in the follower's domain.
+    pub near: Vec<net::IpAddr>,
+    /// How many entry hosts there are in all domains.
+    pub entries: usize,
 }
 
 /// What a target's announcement asks of the leader.
@@ -74,8 +81,10 @@
     Ping,
     /// Between replicas of the log.
     Log(Box<log_message::Message>),
-    /// A control host's version and hosts.
+    /// A control host's version.
     Notice(Notice),
+    /// The hosts, when they have changed.
+    Hosts(Hosts),
     /// Asks for what changed since a version.
     Pull {
         /// The version that the sender has.
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -294,7 +294,7 @@
                     target,
                     token,
                 });
-            } else if self.give_up_at(request) <= now {
+            } else if self.give_up_at(request) <= now || self.is_hopeless(request) {
                 let left = request.limit_at.saturating_sub(now);
                 self.waiting.shift_remove(&number);
                 decisions.push(Decision::Refuse {
@@ -324,6 +324,19 @@
         in_time.max(patience).min(latest)
     }
 
+    /// Tells whether it is known that a request can't be served before it is given up. Load pattern: a
+    /// domain is cut off, and half of the keys have owners elsewhere.
+    fn is_hopeless(&self, request: &Request) -> bool {
+        let (true, Some(key), Some(map)) = (self.keyed, request.key, &self.map) else {
+            return false;
+        };
+        let stripe = map.get(map.stripe_of(key));
+        let owner = stripe.and_then(|stripe| stripe.owner);
+        let owner = owner.and_then(|owner| self.targets.get(&owner));
+        let until = self.give_up_at(request);
+        owner.is_some_and(|owner| owner.is_out_of_reach(until))
+    }
+
     /// Tells whether a request waits for its key to have an owner.
     fn is_between_owners(&self, request: &Request) -> bool {
         let (true, Some(key)) = (self.keyed, request.key) else {
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -77,6 +77,11 @@
         self.facts.open && now >= self.paused_until
     }
 
+    /// Tells whether it could not be reached and is not tried again before `until`.
+    pub fn is_out_of_reach(&self, until: time::Duration) -> bool {
+        self.failures > 0 && self.paused_until > until
+    }
+
     /// Returns how long it takes for a request, once it has a slot.
     pub fn time(&self) -> time::Duration {
         self.times.mean().unwrap_or(PRESUMED_TIME)
--- a/crates/yucca-lane/tests/shared_targets.rs
+++ b/crates/yucca-lane/tests/shared_targets.rs
@@ -207,6 +207,31 @@
     );
 }
 
+/// Load pattern: a domain is cut off; owners elsewhere can't be reached. Their requests are refused at
+/// once instead of waiting until they are late.
+#[test]
+fn a_key_whose_owner_is_out_of_reach_is_refused_at_once() {
+    let (mut service, _) = keyed(1);
+    for number in 0..2 {
+        let now = service.target(site::Number(1)).unwrap().paused_until;
+        service.arrive(with_key(number, 7), now);
+        service.finish(site::Number(1), service::Outcome::Failed, now);
+    }
+    let now = ms(410);
+    let mut late = with_key(2, 7);
+    late.arrived = now;
+    late.objective_at = now + ms(400);
+    late.limit_at = now + ms(900);
+    let decisions = service.arrive(late, now);
+    assert!(
+        matches!(
+            decisions.as_slice(),
+            [service::Decision::Refuse { number: 2, .. }]
+        ),
+        "{decisions:?}"
+    );
+}
+
 #[test]
 fn a_denied_stripe_waits_longer_each_time() {
     let (mut service, _) = keyed(1);
