One server, one error and one lock for both processes; shares are computed once; a suspect is tried where all are

Cause: the whole-path test of writes failed after early refusal: with both targets paused after one failure each, the third write was refused.

--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -16,8 +16,7 @@
 use indexmap::IndexMap;
 use rand::rngs;
 use rand::{Rng, SeedableRng};
-use tokio::net::TcpListener;
-use tokio::sync::{mpsc, watch};
+use tokio::sync::mpsc;
 use tokio::task;
 use yucca_control::{directory, message as log_name, replica, version::feed};
 use yucca_log::node;
@@ -25,6 +24,7 @@
 
 use crate::clock;
 use crate::dialect::operator;
+use crate::error::Error;
 use crate::mesh::{link, message};
 use crate::metric;
 use crate::server;
@@ -48,44 +48,6 @@
 /// How long a process that stops waits for another leader.
 const HAND_OVER_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 
-/// Why a process does not start.
-#[derive(Debug)]
-pub enum Error {
-    /// An address can't be listened on.
-    Listen {
-        /// The address.
-        address: net::SocketAddr,
-        /// What the system reported.
-        error: std::io::Error,
-    },
-    /// A setting is missing.
-    Missing(&'static str),
-    /// The host's address makes no name.
-    Name(yucca_wire::id::Error),
-    /// The log's storage does not open.
-    Storage(yucca_log::storage::Error),
-}
-
-impl std::fmt::Display for Error {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::Listen { address, error } => {
-                write!(
-                    f,
-                    "cannot listen on {address}: {error}; see whether another process does"
-                )
-            }
-            Self::Missing(setting) => {
-                write!(f, "setting `{setting}` is missing; this role needs it")
-            }
-            Self::Name(error) => write!(f, "the host has no name: {error}"),
-            Self::Storage(error) => write!(f, "the log does not open: {error}"),
-        }
-    }
-}
-
-impl std::error::Error for Error {}
-
 /// What the parts of the process share.
 ///
 /// Locks are taken in the order `machine`, `book`, `followers`, `dialers`; none is held across an
@@ -109,8 +71,8 @@
 /// A running control process.
 pub struct Process {
     core: sync::Arc<Core>,
-    stop: watch::Sender<bool>,
-    server: task::JoinHandle<()>,
+    server: server::Running,
+    _metrics: Option<server::Running>,
     _tasks: task::JoinSet<()>,
 }
 
@@ -133,9 +95,9 @@
             ip: settings.ip,
             domain: settings.domain.clone(),
         };
-        metric::start(settings.addresses.metrics).await?;
-        let callers = listen(operator).await?;
-        let peers = listen(settings.addresses.mesh).await?;
+        let metrics = metric::start(settings.addresses.metrics).await?;
+        let callers = server::listen(operator).await?;
+        let peers = server::listen(settings.addresses.mesh).await?;
         let (events, received) = mpsc::channel(EVENTS);
         let carrier = carry::Carrier::new(&settings, hello.clone(), events.clone());
         let carrier = sync::Arc::new(carrier);
@@ -173,17 +135,15 @@
         });
         core.note_hosts(&hello);
         core.carrier.dial(&core.settings.seeds);
-        let (stop, stopped) = watch::channel(false);
         let mut tasks = task::JoinSet::new();
         tasks.spawn(link::accept(peers, hello, events));
         tasks.spawn(core.clone().hear(received));
         tasks.spawn(core.clone().publish());
         let handler = sync::Arc::new(call::Handler(core.clone()));
-        let server = tokio::spawn(server::serve(callers, handler, stopped));
         Ok(Self {
             core,
-            stop,
-            server,
+            server: server::Running::start(callers, handler),
+            _metrics: metrics,
             _tasks: tasks,
         })
     }
@@ -197,22 +157,14 @@
     /// Hands leadership over, lets open requests end and stops.
     pub async fn stop(mut self) {
         self.core.replica.hand_over(HAND_OVER_PATIENCE).await;
-        // The receivers are gone only when the server has ended.
-        self.stop.send(true).ok();
         let patience = self.core.settings.timing.stop.0 / 4;
-        if tokio::time::timeout(patience, &mut self.server)
-            .await
-            .is_err()
-        {
-            log::warn!("requests were still open at the end");
-        }
+        self.server.stop(patience).await;
     }
 }
 
 impl Drop for Process {
     /// Ends at once, as a killed process does.
     fn drop(&mut self) {
-        self.server.abort();
         self.core.replica.abort();
     }
 }
@@ -248,13 +200,3 @@
     config.seed = seed;
     config
 }
-
-async fn listen(address: net::SocketAddr) -> Result<TcpListener, Error> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|error| Error::Listen { address, error })
-}
-
-/// Locks a mutex; a panic of another holder leaves nothing half done that matters here.
-pub(crate) fn lock<T: ?Sized>(mutex: &sync::Mutex<T>) -> sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(sync::PoisonError::into_inner)
-}
--- a/crates/yucca-fleet/src/control/announce.rs
+++ b/crates/yucca-fleet/src/control/announce.rs
@@ -8,9 +8,10 @@
 
 use yucca_own::site::{self, lease, target};
 
-use crate::control::{Core, lock};
+use crate::control::Core;
 use crate::dialect::operator;
 use crate::mesh::message;
+use crate::mutex::lock;
 
 impl Core {
     /// Takes in an announcement. It is answered only once what it changes is agreed on.
--- a/crates/yucca-fleet/src/control/ask.rs
+++ b/crates/yucca-fleet/src/control/ask.rs
@@ -10,8 +10,9 @@
 use yucca_own::site::{item, lease};
 use yucca_wire::id;
 
-use crate::control::{Core, lock};
+use crate::control::Core;
 use crate::mesh::message;
+use crate::mutex::lock;
 
 /// How long an answer of the leader is waited for; targets wait a second for theirs.
 const PATIENCE: time::Duration = time::Duration::from_millis(700);
--- a/crates/yucca-fleet/src/control/call.rs
+++ b/crates/yucca-fleet/src/control/call.rs
@@ -13,9 +13,10 @@
 use yucca_log::node;
 use yucca_own::site;
 
-use crate::control::{Core, lock};
+use crate::control::Core;
 use crate::dialect::operator;
 use crate::mesh::message;
+use crate::mutex::lock;
 use crate::server;
 
 /// The most bytes of a request's body.
--- a/crates/yucca-fleet/src/control/carry.rs
+++ b/crates/yucca-fleet/src/control/carry.rs
@@ -9,8 +9,8 @@
 use yucca_log::message as log_message;
 use yucca_wire::id;
 
-use crate::control::lock;
 use crate::mesh::{link, message};
+use crate::mutex::lock;
 use crate::settings;
 
 /// One connection to each control host that the log has messages for.
--- a/crates/yucca-fleet/src/control/follower.rs
+++ b/crates/yucca-fleet/src/control/follower.rs
@@ -11,8 +11,9 @@
 use yucca_own::site::{item, range};
 use yucca_wire::id;
 
-use crate::control::{Core, lock};
+use crate::control::Core;
 use crate::mesh::{link, message};
+use crate::mutex::lock;
 
 /// How often followers are told of a version that does not change.
 const NOTICE_INTERVAL: time::Duration = time::Duration::from_millis(1_000);
--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -19,14 +19,14 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body;
-use tokio::net::{TcpListener, UdpSocket};
+use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::task;
 use yucca_lane::shared::window;
 
 use crate::clock;
-use crate::control;
 use crate::dialect::{caller, target};
+use crate::error;
 use crate::mesh::message;
 use crate::metric;
 use crate::server;
@@ -70,8 +70,9 @@
 /// A running entry process.
 pub struct Process {
     core: sync::Arc<Core>,
-    stop: watch::Sender<bool>,
-    server: task::JoinHandle<()>,
+    server: server::Running,
+    _health: server::Running,
+    _metrics: Option<server::Running>,
     _tasks: task::JoinSet<()>,
 }
 
@@ -84,23 +85,23 @@
         settings: settings::Settings,
         caller: Box<dyn caller::Caller>,
         target: Box<dyn target::Target>,
-    ) -> Result<Self, control::Error> {
+    ) -> Result<Self, error::Error> {
         let callers = settings.addresses.callers;
-        let callers = callers.ok_or(control::Error::Missing("addresses.callers"))?;
+        let callers = callers.ok_or(error::Error::Missing("addresses.callers"))?;
         let health = settings.addresses.health;
-        let health = health.ok_or(control::Error::Missing("addresses.health"))?;
+        let health = health.ok_or(error::Error::Missing("addresses.health"))?;
         let hello = message::Hello {
             role: message::Role::Entry,
-            host: settings.host().map_err(control::Error::Name)?,
+            host: settings.host().map_err(error::Error::Name)?,
             ip: settings.ip,
             domain: settings.domain.clone(),
         };
-        let callers = listen(callers).await?;
-        let health = listen(health).await?;
+        let callers = server::listen(callers).await?;
+        let health = server::listen(health).await?;
         let address = settings.addresses.mesh;
         let digests = UdpSocket::bind(address).await;
-        let digests = digests.map_err(|error| control::Error::Listen { address, error })?;
-        metric::start(settings.addresses.metrics).await?;
+        let digests = digests.map_err(|error| error::Error::Listen { address, error })?;
+        let metrics = metric::start(settings.addresses.metrics).await?;
         let retries = settings.retries;
         let core = sync::Arc::new(Core {
             desk: sync::Arc::new(desk::Desk::new(window::Config {
@@ -120,23 +121,17 @@
             hosts: sync::Mutex::default(),
             peers: ArcSwap::default(),
         });
-        let (stop, stopped) = watch::channel(false);
         let (events, received) = mpsc::channel(EVENTS);
         let mut tasks = task::JoinSet::new();
         tasks.spawn(follow::run(core.clone(), hello, events, received));
         tasks.spawn(gossip::run(core.clone(), digests));
         tasks.spawn(core.clone().keep_time());
-        tasks.spawn(server::serve(
-            health,
-            sync::Arc::new(Health(core.clone())),
-            stopped.clone(),
-        ));
         let handler = sync::Arc::new(request::Handler(core.clone()));
-        let server = tokio::spawn(server::serve(callers, handler, stopped));
         Ok(Self {
+            _health: server::Running::start(health, sync::Arc::new(Health(core.clone()))),
             core,
-            stop,
-            server,
+            server: server::Running::start(callers, handler),
+            _metrics: metrics,
             _tasks: tasks,
         })
     }
@@ -150,23 +145,10 @@
     pub async fn stop(mut self) {
         self.core.stopping.send_replace(true);
         tokio::time::sleep(LINGER).await;
-        // The receivers are gone only when the server has ended.
-        self.stop.send(true).ok();
         let stop = self.core.settings.timing.stop.0;
-        let patience = stop.saturating_sub(LINGER + END_MARGIN);
-        if tokio::time::timeout(patience, &mut self.server)
-            .await
-            .is_err()
-        {
-            log::warn!("requests were still open at the end");
-        }
-    }
-}
-
-impl Drop for Process {
-    /// Ends at once, as a killed process does.
-    fn drop(&mut self) {
-        self.server.abort();
+        self.server
+            .stop(stop.saturating_sub(LINGER + END_MARGIN))
+            .await;
     }
 }
 
@@ -194,11 +176,6 @@
     }
 }
 
-async fn listen(address: net::SocketAddr) -> Result<TcpListener, control::Error> {
-    let bound = TcpListener::bind(address).await;
-    bound.map_err(|error| control::Error::Listen { address, error })
-}
-
 /// Answers the balancer.
 struct Health(sync::Arc<Core>);
 
--- a/crates/yucca-fleet/src/entry/desk.rs
+++ b/crates/yucca-fleet/src/entry/desk.rs
@@ -10,7 +10,7 @@
 use yucca_lane::shared::{service, target, window};
 use yucca_own::site::{balance, item, range, target as site};
 
-use crate::control::lock;
+use crate::mutex::lock;
 
 /// All services of this host.
 pub struct Desk {
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -10,9 +10,9 @@
 use yucca_own::site::{self, delta, item, target};
 use yucca_wire::id;
 
-use crate::control::lock;
 use crate::entry::{Core, gossip, view};
 use crate::mesh::{link, message};
+use crate::mutex::lock;
 
 /// After so long without an answer the state is asked for again.
 const PULL_PATIENCE: time::Duration = time::Duration::from_millis(250);
--- a/crates/yucca-fleet/src/entry/pool.rs
+++ b/crates/yucca-fleet/src/entry/pool.rs
@@ -12,7 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
-use crate::control::lock;
+use crate::mutex::lock;
 
 /// How long opening a connection may take; the way to the farthest domain and back takes 2 ms.
 const CONNECT_PATIENCE: time::Duration = time::Duration::from_millis(300);
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -13,9 +13,9 @@
 use yucca_lane::shared::service;
 use yucca_own::site::{item, range, target as site};
 
-use crate::control::lock;
 use crate::dialect::{caller, target};
 use crate::entry::{Core, exchange, view};
+use crate::mutex::lock;
 use crate::server;
 
 /// How long past the route's timeout an answer may still come.
--- a/crates/yucca-fleet/src/metric.rs
+++ b/crates/yucca-fleet/src/metric.rs
@@ -1,5 +1,6 @@
 //! The metrics of the process, served for Prometheus.
 
+use std::net;
 use std::sync;
 use std::time;
 
@@ -8,11 +9,9 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body;
-use tokio::net::TcpListener;
-use tokio::sync::watch;
 use yucca_control::process::metric;
 
-use crate::control::Error;
+use crate::error::Error;
 use crate::server;
 
 /// The longest wait for a head.
@@ -21,22 +20,21 @@
 /// The most bytes of a head.
 const HEAD_BYTES: usize = 8 << 10;
 
-/// Starts to record metrics and to serve them, where the settings give an address.
+/// Starts to record metrics and to serve them until the server is dropped, where the settings give
+/// an address.
 ///
 /// # Errors
 /// Fails where the address is taken.
-pub async fn start(address: Option<std::net::SocketAddr>) -> Result<(), Error> {
+pub async fn start(address: Option<net::SocketAddr>) -> Result<Option<server::Running>, Error> {
     let Some(address) = address else {
-        return Ok(());
+        return Ok(None);
     };
     metric::install();
-    let bound = TcpListener::bind(address).await;
-    let listener = bound.map_err(|error| Error::Listen { address, error })?;
-    tokio::spawn(async move {
-        let (_never, stop) = watch::channel(false);
-        server::serve(listener, sync::Arc::new(Handler), stop).await;
-    });
-    Ok(())
+    let listener = server::listen(address).await?;
+    Ok(Some(server::Running::start(
+        listener,
+        sync::Arc::new(Handler),
+    )))
 }
 
 struct Handler;
--- a/crates/yucca-fleet/src/server.rs
+++ b/crates/yucca-fleet/src/server.rs
@@ -1,6 +1,7 @@
 //! HTTP servers.
 
 use std::convert;
+use std::net;
 use std::sync;
 use std::time;
 
@@ -16,6 +17,8 @@
 use tokio::sync::watch;
 use tokio::task;
 
+use crate::error;
+
 /// The pause after a connection could not be taken.
 const ACCEPT_PAUSE: time::Duration = time::Duration::from_millis(50);
 
@@ -34,8 +37,48 @@
     fn head_bytes(&self) -> usize;
 }
 
+/// A running server. Dropped, it ends at once, as with a killed process.
+#[derive(Debug)]
+pub struct Running {
+    stop: watch::Sender<bool>,
+    task: task::JoinHandle<()>,
+}
+
+impl Running {
+    /// Starts a server.
+    pub fn start<H: Handler>(listener: TcpListener, handler: sync::Arc<H>) -> Self {
+        let (stop, stopped) = watch::channel(false);
+        let task = tokio::spawn(serve(listener, handler, stopped));
+        Self { stop, task }
+    }
+
+    /// Takes no further connection and lets open requests end, for at most `patience`.
+    pub async fn stop(&mut self, patience: time::Duration) {
+        self.stop.send_replace(true);
+        let ended = tokio::time::timeout(patience, &mut self.task).await;
+        if ended.is_err() {
+            log::warn!("requests were still open after {patience:?}");
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Listens on an address.
+///
+/// # Errors
+/// Fails where the address is taken or not this host's.
+pub async fn listen(address: net::SocketAddr) -> Result<TcpListener, error::Error> {
+    let bound = TcpListener::bind(address).await;
+    bound.map_err(|error| error::Error::Listen { address, error })
+}
+
 /// Takes connections until `stop` is set, then lets open requests end and returns.
-pub async fn serve<H: Handler>(
+async fn serve<H: Handler>(
     listener: TcpListener,
     handler: sync::Arc<H>,
     mut stop: watch::Receiver<bool>,
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -388,16 +388,19 @@
     /// equals two are drawn and the one that answers sooner is taken, so that hosts which know the
     /// same do not all choose the same target.
     fn best(&self, request: &Request, now: time::Duration) -> Option<site::Number> {
-        let usable = self.targets.values().filter(|target| {
-            target.is_usable(now)
-                && target.load() < target.facts.slots + DEPTH
+        let has_room = |target: &&target::Target| {
+            target.load() < target.facts.slots + DEPTH
                 && !request.tried.contains(&target.facts.number)
-        });
+        };
+        let targets = || self.targets.values().filter(has_room);
+        let usable: Vec<&target::Target> = targets().filter(|t| t.is_usable(now)).collect();
+        if usable.is_empty() {
+            return self.least_suspect(targets(), now);
+        }
         let rank = |target: &&target::Target| {
             let queued = target.load() >= target.facts.slots;
             (queued, !target.facts.near)
         };
-        let usable: Vec<&target::Target> = usable.collect();
         let best = usable.iter().map(rank).min()?;
         let equal: Vec<&&target::Target> = usable.iter().filter(|t| rank(t) == best).collect();
         let drawn = [0, 1].map(|draw| equal[draw_index(request.number, draw, equal.len())]);
@@ -406,6 +409,23 @@
     }
 }
 
+impl Service {
+    /// Load pattern: each target has failed once, as when a fault of this host or of all targets is
+    /// passing. Paused all together, none would be tried and all work be refused.
+    fn least_suspect<'a>(
+        &self,
+        targets: impl Iterator<Item = &'a target::Target>,
+        now: time::Duration,
+    ) -> Option<site::Number> {
+        if self.targets.values().any(|target| target.is_usable(now)) {
+            return None;
+        }
+        let suspects = targets.filter(|target| target.is_suspect());
+        let first = suspects.min_by_key(|target| target.paused_until);
+        first.map(|target| target.facts.number)
+    }
+}
+
 /// Draws an index below `count`, from the request's number alone so that equal inputs give equal
 /// decisions.
 fn draw_index(number: u64, draw: u64, count: usize) -> usize {
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -77,6 +77,11 @@
         self.facts.open && now >= self.paused_until
     }
 
+    /// Tells whether only earlier failures speak against sending to it.
+    pub fn is_suspect(&self) -> bool {
+        self.facts.open && self.failures > 0 && self.refusals == 0
+    }
+
     /// Tells whether it could not be reached and is not tried again before `until`.
     pub fn is_out_of_reach(&self, until: time::Duration) -> bool {
         self.failures > 0 && self.paused_until > until
--- a/crates/yucca-lane/tests/shared_targets.rs
+++ b/crates/yucca-lane/tests/shared_targets.rs
@@ -271,6 +271,18 @@
     );
 }
 
+#[test]
+fn where_every_target_has_failed_one_is_tried() {
+    let mut service = service::Service::default();
+    service.set_targets(&[facts(0, true), facts(1, true)]);
+    for number in 0..2 {
+        let now = ms(number);
+        let (_, target) = sent(&service.arrive(request(number), now))[0];
+        service.finish(site::Number(target), service::Outcome::Failed, now);
+    }
+    assert_eq!(sent(&service.arrive(request(2), ms(3))).len(), 1);
+}
+
 #[test]
 fn the_budget_holds_in_every_window_over_all_hosts() {
     let config = window::Config {
--- a/crates/yucca-own/src/site/balance.rs
+++ b/crates/yucca-own/src/site/balance.rs
@@ -84,41 +84,30 @@
         *known += (mean - *known) * weight;
     }
 
-    /// Returns the work that a stripe brings, in requests a second.
-    pub fn weight(&self, service: &item::Name, map: &range::Map, stripe: u32) -> f64 {
+    /// Returns the scale on which a service's stripes are weighed.
+    pub fn scale(&self, service: &item::Name, map: &range::Map) -> Scale<'_> {
+        let demand = self.demand.get(service);
+        let total = demand.map_or(0.0, |demand| demand.total);
         let count = f64::from(map.count().max(1));
-        let Some(demand) = self.demand.get(service) else {
-            return IDLE_RATE;
-        };
-        let rate = demand.rates.get(&stripe).copied().unwrap_or(0.0);
-        rate * (1.0 - EVEN_SHARE) + demand.total / count * EVEN_SHARE + IDLE_RATE
-    }
-
-    /// Returns the work that some stripes bring together.
-    pub fn sum(
-        &self,
-        service: &item::Name,
-        map: &range::Map,
-        stripes: impl Iterator<Item = u32>,
-    ) -> f64 {
-        stripes
-            .map(|stripe| self.weight(service, map, stripe))
-            .sum()
-    }
-
-    /// Returns the work of a whole service.
-    pub fn total(&self, service: &item::Name, map: &range::Map) -> f64 {
-        let total = self.demand.get(service).map_or(0.0, |demand| demand.total);
-        total + IDLE_RATE * f64::from(map.count())
+        Scale {
+            rates: demand.map(|demand| &demand.rates),
+            even: total / count * EVEN_SHARE + IDLE_RATE,
+            total: total + IDLE_RATE * count,
+        }
     }
 
-    /// Returns the share of a service's work that a target should have.
-    pub fn share(&self, kept: &target::Kept, eligible: &[&target::Kept]) -> f64 {
+    /// Returns the share of a service's work that each target should have.
+    pub fn shares(&self, eligible: &[&target::Kept]) -> IndexMap<target::Number, f64> {
         let mean = self.mean_time(eligible);
-        let own = self.capacity(kept, mean);
-        let others = eligible.iter().filter(|other| other.number != kept.number);
-        let all: f64 = own + others.map(|other| self.capacity(other, mean)).sum::<f64>();
-        own / all
+        let capacities: Vec<f64> = eligible
+            .iter()
+            .map(|kept| self.capacity(kept, mean))
+            .collect();
+        let all: f64 = capacities.iter().sum();
+        let shares = eligible.iter().zip(capacities);
+        shares
+            .map(|(kept, capacity)| (kept.number, capacity / all))
+            .collect()
     }
 
     fn capacity(&self, kept: &target::Kept, mean: f64) -> f64 {
@@ -139,6 +128,32 @@
     }
 }
 
+/// Weighs the stripes of one service by the work that they bring, in requests a second.
+#[derive(Debug, Clone, Copy)]
+pub struct Scale<'a> {
+    rates: Option<&'a IndexMap<u32, f64>>,
+    even: f64,
+    total: f64,
+}
+
+impl Scale<'_> {
+    /// Returns the work of one stripe.
+    pub fn weight(&self, stripe: u32) -> f64 {
+        let rate = self.rates.and_then(|rates| rates.get(&stripe));
+        rate.copied().unwrap_or(0.0) * (1.0 - EVEN_SHARE) + self.even
+    }
+
+    /// Returns the work of some stripes.
+    pub fn sum(&self, stripes: impl Iterator<Item = u32>) -> f64 {
+        stripes.map(|stripe| self.weight(stripe)).sum()
+    }
+
+    /// Returns the work of the whole service.
+    pub fn total(&self) -> f64 {
+        self.total
+    }
+}
+
 impl Demand {
     fn decay(&mut self, now: time::Duration) {
         let passed = now.saturating_sub(self.updated).as_secs_f64();
--- a/crates/yucca-own/src/site/lease.rs
+++ b/crates/yucca-own/src/site/lease.rs
@@ -297,10 +297,12 @@
                 &fresh
             }
         };
-        let share = self.balance.share(kept, &eligible);
-        let quota = self.balance.total(service, map) * share;
+        let shares = self.balance.shares(&eligible);
+        let share = shares.get(&kept.number).copied().unwrap_or(0.0);
+        let scale = self.balance.scale(service, map);
+        let quota = scale.total() * share;
         let owned: Vec<u32> = self.kept_stripes(service, map, kept.number).collect();
-        let mut work = self.balance.sum(service, map, owned.iter().copied());
+        let mut work = scale.sum(owned.iter().copied());
         if work >= quota && !self.free_since.contains_key(service) {
             return None;
         }
@@ -314,24 +316,26 @@
         let expected = (f64::from(map.count()) * share).ceil() as u32;
         let group = expected.div_ceil(SCATTERED_STRIPES).next_power_of_two();
         free.sort_by_key(|(number, _)| (scatter(*number / group), *number));
+        let any = !free.is_empty();
         let room = if eligible.len() > FEW_TARGETS {
             MAX_ROWS.saturating_sub(rows(map, &owned))
         } else {
             range::MAX_STRIPES
         };
-        let spare = self.is_unwanted(service, !free.is_empty(), now);
         let most = free.len().div_ceil(eligible.len().max(1));
         free.truncate(room as usize);
+        let spare = any && self.is_unwanted(service, now);
         let mut taken = 0;
         for (number, _) in &free {
             if work >= quota && !(spare && taken < most) {
                 break;
             }
-            work += self.balance.weight(service, map, *number);
+            work += scale.weight(*number);
             taken += 1;
         }
         free.truncate(taken);
         let count = map.count();
+        self.note_free(service, any, now);
         let owners: Vec<Option<target::Number>> = free
             .iter()
             .map(|(number, _)| map.get(*number).and_then(|stripe| stripe.owner))
@@ -349,13 +353,17 @@
 
     /// Tells whether stripes stay free although all targets have been heard since: those that would
     /// have them by their share have no room for further rows.
-    fn is_unwanted(&mut self, service: &item::Name, any: bool, now: time::Duration) -> bool {
-        if !any {
+    fn is_unwanted(&self, service: &item::Name, now: time::Duration) -> bool {
+        let since = self.free_since.get(service);
+        since.is_some_and(|since| now >= *since + self.config.settle)
+    }
+
+    fn note_free(&mut self, service: &item::Name, any: bool, now: time::Duration) {
+        if any {
+            self.free_since.entry(service.clone()).or_insert(now);
+        } else {
             self.free_since.swap_remove(service);
-            return false;
         }
-        let since = *self.free_since.entry(service.clone()).or_insert(now);
-        now >= since + self.config.settle
     }
 
     /// Notes that a claim was agreed on, or surely was not. Where that is not known, leadership is
@@ -446,9 +454,11 @@
         }
         let service = &kept.target.service;
         let eligible = self.eligible(state, service, now);
-        let total = self.balance.total(service, map);
-        let quota = total * self.balance.share(kept, &eligible);
-        let work = self.balance.sum(service, map, owned.iter().copied());
+        let shares = self.balance.shares(&eligible);
+        let scale = self.balance.scale(service, map);
+        let share = |number| shares.get(&number).copied().unwrap_or(0.0);
+        let quota = scale.total() * share(kept.number);
+        let work = scale.sum(owned.iter().copied());
         if work <= quota {
             return Vec::new();
         }
@@ -457,8 +467,8 @@
             .filter(|other| other.number != kept.number)
             .filter(|other| has_room(map, other.number, eligible.len()))
             .map(|other| {
-                let has = self.balance.sum(service, map, map.owned(other.number));
-                has / (total * self.balance.share(other, &eligible))
+                let has = scale.sum(map.owned(other.number));
+                has / (scale.total() * share(other.number))
             })
             .fold(f64::INFINITY, f64::min);
         let worth_it = work > quota * SURPLUS_FACTOR && poorest < 1.0;
@@ -467,7 +477,7 @@
         }
         let mut surplus = (work - quota) * SHED_PART;
         // The heaviest first, so that few change hands; one that is too heavy stays.
-        let weight = |stripe: &u32| self.balance.weight(service, map, *stripe);
+        let weight = |stripe: &u32| scale.weight(*stripe);
         owned.sort_by(|one, other| weight(other).total_cmp(&weight(one)));
         owned.retain(|stripe| {
             let fits = weight(stripe) <= surplus;
