Leases: late heartbeats are no release to a new leader

Now only a target that this leader has heard to hold its keys, or a lease's length after the election, can release. The test fails without the check.

--- a/crates/yucca-fleet/src/control/announce.rs
+++ b/crates/yucca-fleet/src/control/announce.rs
@@ -123,7 +123,7 @@
         let kept = machine.state.targets.life(life)?.clone();
         self.with_book(|book| {
             book.note(kept.number, &kept.target.service, now);
-            if !book.hear(&machine.state, &kept, beat) {
+            if !book.hear(&machine.state, &kept, beat, now) {
                 return None;
             }
             let assignment = book.claim(&machine.state, &kept, now);
--- a/crates/yucca-own/src/site/lease.rs
+++ b/crates/yucca-own/src/site/lease.rs
@@ -63,6 +63,8 @@
 struct Holder {
     heard: time::Duration,
     sequence: u64,
+    /// Whether this leader has heard it hold all that it owns.
+    seen_whole: bool,
     /// When its last renewal has surely ended.
     expires: time::Duration,
     /// Stripes that are no longer renewed, with the heartbeat whose answer left them out.
@@ -120,7 +122,13 @@
 
     /// Takes in what a heartbeat says of keys. Returns false for one that is older than another
     /// that was heard, which must be answered without any grant.
-    pub fn hear(&mut self, state: &State, kept: &target::Kept, beat: &Digest) -> bool {
+    pub fn hear(
+        &mut self,
+        state: &State,
+        kept: &target::Kept,
+        beat: &Digest,
+        now: time::Duration,
+    ) -> bool {
         let Some(map) = state.ranges.get(&kept.target.service) else {
             return self.advance(kept.number, beat.sequence);
         };
@@ -134,13 +142,20 @@
             }
         }
         self.forget_used_handovers(kept, map, beat);
+        // A late heartbeat from before the target got its keys says that it does not hold them. Only one
+        // that has been heard to hold them can have released them since.
+        let settled = now >= self.since + self.config.expiry();
         let holder = self.holder(kept.number);
-        if let Held::Stripes(held) = &beat.held {
-            for (stripe, since) in &holder.leaving {
-                if *since < beat.sequence && !held.contains(stripe) {
-                    holder.released.insert(*stripe);
+        match &beat.held {
+            Held::Owned => holder.seen_whole = true,
+            Held::Stripes(held) if holder.seen_whole || settled => {
+                for (stripe, since) in &holder.leaving {
+                    if *since < beat.sequence && !held.contains(stripe) {
+                        holder.released.insert(*stripe);
+                    }
                 }
             }
+            Held::Stripes(_) => {}
         }
         true
     }
--- a/crates/yucca-own/tests/key_leases.rs
+++ b/crates/yucca-own/tests/key_leases.rs
@@ -234,7 +234,7 @@
             Some(map) => lease::Digest::new(beat, map, kept.number),
             None => lease::Digest::blank(beat.sequence),
         };
-        if !self.book.hear(&self.state, &kept, &digest) {
+        if !self.book.hear(&self.state, &kept, &digest, self.now) {
             return Vec::new();
         }
         if let Some(claim) = self.book.claim(&self.state, &kept, self.now) {
@@ -385,6 +385,31 @@
     assert_eq!(world.held_probes(), world.probes.len());
 }
 
+/// Right after an election two heartbeats come that a cut had held up since before the target got its
+/// keys. They must not pass for a release, though the target is draining.
+#[test]
+fn late_heartbeats_are_no_release_to_a_new_leader() {
+    let mut world = World::new(7, config());
+    run(&mut world, time::Duration::from_secs(4));
+    world.targets[0].draining = true;
+    let kept = world.state.targets.latest(&world.targets[0].name).unwrap();
+    let mut said = kept.target.clone();
+    said.phase = target::Phase::Draining;
+    world.apply(Command::Announce(said.clone()));
+    world.book = lease::Book::new(config(), world.now);
+    for sequence in [1, 2, 3] {
+        let late = lease::Beat {
+            sequence,
+            ..lease::Beat::default()
+        };
+        world.grant(&said.life, &late);
+    }
+    let other = world.state.targets.latest(&world.targets[1].name).unwrap();
+    let claim = world.book.claim(&world.state, &other.clone(), world.now);
+    let taken = claim.map_or(0, |claim| claim.stripes.len());
+    assert_eq!(taken, 0, "stripes that the draining target still holds");
+}
+
 #[test]
 fn a_target_that_joins_gets_its_share() {
     let mut world = World::new(3, config());
