--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -45,6 +45,9 @@
 /// The most events of connections that wait.
 const EVENTS: usize = 4096;
 
+/// Open requests get this part of the time to stop; handing leadership over may take the rest.
+const DRAIN_DIVISOR: u32 = 4;
+
 /// How long a process that stops waits for another leader.
 const HAND_OVER_PATIENCE: time::Duration = time::Duration::from_millis(1_500);
 
@@ -157,7 +160,7 @@
     /// Hands leadership over, lets open requests end and stops.
     pub async fn stop(mut self) {
         self.core.replica.hand_over(HAND_OVER_PATIENCE).await;
-        let patience = self.core.settings.timing.stop.0 / 4;
+        let patience = self.core.settings.timing.stop.0 / DRAIN_DIVISOR;
         self.server.stop(patience).await;
     }
 }
--- a/crates/yucca-fleet/src/entry/gossip.rs
+++ b/crates/yucca-fleet/src/entry/gossip.rs
@@ -23,6 +23,9 @@
 /// What a host said is forgotten after this time.
 const EXPIRY: time::Duration = time::Duration::from_millis(1_000);
 
+/// A load that does not change is told so often before it would be forgotten, as datagrams get lost.
+const REPEATS: u32 = 3;
+
 /// The most bytes of a datagram.
 const MAX_BYTES: usize = 8 << 10;
 
@@ -66,8 +69,12 @@
                 share(&core, &mut heard);
             }
             received = socket.recv(&mut buffer) => {
-                let Ok(length) = received else {
-                    continue;
+                let length = match received {
+                    Ok(length) => length,
+                    Err(error) => {
+                        log::warn!("load digest not received: {error}");
+                        continue;
+                    }
                 };
                 match rmp_serde::from_slice::<message::Load>(&buffer[..length]) {
                     Ok(load) => {
@@ -107,7 +114,7 @@
             return;
         }
         let loads = core.desk.loads();
-        let again = !loads.is_empty() && now > self.told_at + EXPIRY / 3;
+        let again = !loads.is_empty() && now > self.told_at + EXPIRY / REPEATS;
         if loads == self.told && !again {
             return;
         }
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -41,6 +41,9 @@
 /// When a caller should return to a host that knows no configuration yet.
 const UNCONFIGURED_RETURN: time::Duration = time::Duration::from_millis(200);
 
+/// A caller whose request found no budget for a further try should return after this part of its time.
+const RETURN_DIVISOR: u32 = 4;
+
 /// Headers that concern one connection only.
 const HOP_HEADERS: [header::HeaderName; 6] = [
     header::CONNECTION,
@@ -259,7 +262,7 @@
         match last {
             caller::Refusal::NotRun(_) => {
                 let left = job.limit_at.saturating_sub(self.clock.now());
-                caller::Refusal::NotRun(left / 4)
+                caller::Refusal::NotRun(left / RETURN_DIVISOR)
             }
             other => other,
         }
--- a/crates/yucca-fleet/src/mesh/link.rs
+++ b/crates/yucca-fleet/src/mesh/link.rs
@@ -236,20 +236,16 @@
                 if queued.elapsed() > STALE {
                     continue;
                 }
-                let written = tokio::time::timeout(SILENCE, write(&mut sink, &message)).await;
-                match written {
-                    Ok(Ok(())) => sent = tokio::time::Instant::now(),
-                    Ok(Err(reason)) => return reason,
-                    Err(_) => return "the other side does not read".into(),
+                if let Err(reason) = write_in_time(&mut sink, &message).await {
+                    return reason;
                 }
+                sent = tokio::time::Instant::now();
             }
             () = tokio::time::sleep_until(sent + PING_INTERVAL) => {
-                let written = tokio::time::timeout(SILENCE, write(&mut sink, &message::Message::Ping)).await;
-                match written {
-                    Ok(Ok(())) => sent = tokio::time::Instant::now(),
-                    Ok(Err(reason)) => return reason,
-                    Err(_) => return "the other side does not read".into(),
+                if let Err(reason) = write_in_time(&mut sink, &message::Message::Ping).await {
+                    return reason;
                 }
+                sent = tokio::time::Instant::now();
             }
             () = tokio::time::sleep_until(heard + SILENCE) => {
                 return "the other side is silent".into();
@@ -258,6 +254,14 @@
     }
 }
 
+async fn write_in_time<S>(sink: &mut S, message: &message::Message) -> Result<(), String>
+where
+    S: futures_util::Sink<Bytes, Error = std::io::Error> + Unpin,
+{
+    let written = tokio::time::timeout(SILENCE, write(sink, message)).await;
+    written.unwrap_or_else(|_| Err("the other side does not read".into()))
+}
+
 async fn write<S>(sink: &mut S, message: &message::Message) -> Result<(), String>
 where
     S: futures_util::Sink<Bytes, Error = std::io::Error> + Unpin,
