--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -66,6 +66,8 @@
     followers: sync::Mutex<IndexMap<link::Id, follower::Follower>>,
     carrier: sync::Arc<carry::Carrier>,
     questions: ask::Questions,
+    /// The confirmation of leadership that heartbeats wait for, until it begins.
+    confirmation: sync::Mutex<Option<call::Confirmation>>,
     /// The port for operators and targets, the same on all control hosts.
     operator_port: u16,
     hosts: sync::Arc<ArcSwap<directory::Directory>>,
@@ -132,6 +134,7 @@
             followers: sync::Mutex::default(),
             carrier,
             questions: ask::Questions::default(),
+            confirmation: sync::Mutex::default(),
             operator_port: operator.port(),
             hosts,
             settings,
--- a/crates/yucca-fleet/src/control/announce.rs
+++ b/crates/yucca-fleet/src/control/announce.rs
@@ -85,11 +85,12 @@
         let Some(beat) = ask.beat else {
             return Ok(None);
         };
-        self.confirm().await?;
-        let Some((kept, assignment)) = self.hear_beat(&ask.life, &beat) else {
+        self.confirm_together().await?;
+        let Some(kept) = self.hear_beat(&ask.life, &beat) else {
             return Ok(None);
         };
-        if let Some(assignment) = assignment {
+        self.split_busy(&kept).await?;
+        if let Some(assignment) = self.claim(&kept) {
             log::info!(
                 "target={} service={} gets {} stripes",
                 ask.life,
@@ -113,22 +114,41 @@
         outcome.map(|_| ())
     }
 
-    fn hear_beat(
-        &self,
-        life: &target::Life,
-        beat: &lease::Digest,
-    ) -> Option<(target::Kept, Option<site::range::Assignment>)> {
+    /// Takes in a heartbeat; none for one that is older than another that was heard.
+    fn hear_beat(&self, life: &target::Life, beat: &lease::Digest) -> Option<target::Kept> {
         let now = self.clock.now();
         let machine = lock(&self.machine);
         let kept = machine.state.targets.life(life)?.clone();
-        self.with_book(|book| {
+        let heard = self.with_book(|book| {
             book.note(kept.number, &kept.target.service, now);
-            if !book.hear(&machine.state, &kept, beat, now) {
-                return None;
-            }
-            let assignment = book.claim(&machine.state, &kept, now);
-            Some((kept.clone(), assignment))
-        })
+            book.hear(&machine.state, &kept, beat, now)
+        });
+        heard.then_some(kept)
+    }
+
+    fn claim(&self, kept: &target::Kept) -> Option<site::range::Assignment> {
+        let now = self.clock.now();
+        let machine = lock(&self.machine);
+        self.with_book(|book| book.claim(&machine.state, kept, now))
+    }
+
+    /// Splits busy stripes of a target that is to give some away.
+    async fn split_busy(&self, kept: &target::Kept) -> Result<(), message::Refusal> {
+        let now = self.clock.now();
+        let stripes = {
+            let machine = lock(&self.machine);
+            self.with_book(|book| book.splits(&machine.state, kept, now))
+        };
+        if stripes.is_empty() {
+            return Ok(());
+        }
+        let service = kept.target.service.clone();
+        log::info!(
+            "target={} service={service} stripes {stripes:?} are busy and split",
+            kept.target.life
+        );
+        let split = site::Command::Split(service, stripes);
+        self.propose(&split).await.map(|_| ())
     }
 
     fn settle(
--- a/crates/yucca-fleet/src/control/call.rs
+++ b/crates/yucca-fleet/src/control/call.rs
@@ -9,6 +9,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body;
+use tokio::sync::watch;
 use yucca_control::replica;
 use yucca_log::node;
 use yucca_own::site;
@@ -31,6 +32,13 @@
 /// How long a request may wait for a quorum.
 const PATIENCE: time::Duration = time::Duration::from_millis(2_500);
 
+/// How long heartbeats are gathered before leadership is confirmed for all of them. Targets wait a
+/// second for the answer.
+const CONFIRM_GATHER: time::Duration = time::Duration::from_millis(30);
+
+/// What came of a confirmation of leadership, once it is over.
+pub(super) type Confirmation = watch::Receiver<Option<Result<(), message::Refusal>>>;
+
 /// Answers requests of operators and targets.
 pub(super) struct Handler(pub sync::Arc<Core>);
 
@@ -172,6 +180,39 @@
         self.replica.read().await.map(|_| ()).map_err(failure)
     }
 
+    /// Confirms leadership once for all heartbeats of a short while: each round is a message to and
+    /// from every control host.
+    pub(super) async fn confirm_together(self: &sync::Arc<Self>) -> Result<(), message::Refusal> {
+        let mut shared = {
+            let mut next = lock(&self.confirmation);
+            match &*next {
+                Some(shared) => shared.clone(),
+                None => {
+                    let (done, shared) = watch::channel(None);
+                    *next = Some(shared.clone());
+                    tokio::spawn(self.clone().confirm_later(done));
+                    shared
+                }
+            }
+        };
+        let confirmed = shared.wait_for(Option::is_some).await;
+        let confirmed = confirmed.ok().and_then(|confirmed| confirmed.clone());
+        confirmed.unwrap_or_else(|| {
+            let reason = "the confirmation was given up".to_owned();
+            Err(message::Refusal::Unavailable(reason))
+        })
+    }
+
+    async fn confirm_later(
+        self: sync::Arc<Self>,
+        done: watch::Sender<Option<Result<(), message::Refusal>>>,
+    ) {
+        tokio::time::sleep(CONFIRM_GATHER).await;
+        // Heartbeats that come from now on need a later confirmation.
+        lock(&self.confirmation).take();
+        done.send_replace(Some(self.confirm().await));
+    }
+
     /// Has a command agreed on.
     pub(super) async fn propose(
         &self,
--- a/crates/yucca-fleet/src/control/follower.rs
+++ b/crates/yucca-fleet/src/control/follower.rs
@@ -22,8 +22,8 @@
 const GATHER: time::Duration = time::Duration::from_millis(1);
 
 /// How often followers in other domains are told at the most, as bytes between domains are dear. They
-/// hear of versions from a control host of their own domain first.
-const FAR_INTERVAL: time::Duration = time::Duration::from_millis(250);
+/// hear of versions from a control host of their own domain, or ask.
+const FAR_INTERVAL: time::Duration = NOTICE_INTERVAL;
 
 /// Who is connected to this process.
 #[derive(Debug)]
@@ -124,11 +124,13 @@
             message::Message::Reply { ticket, reply } => self.note_reply(ticket, reply),
             message::Message::Pull { have } => self.answer_pull(id, have),
             message::Message::Report(report) => self.note_report(&report),
+            message::Message::Moving { service, stripes } => {
+                self.relay_moving(&service, &stripes);
+            }
             message::Message::Hello(_)
             | message::Message::Ping
             | message::Message::Notice(_)
             | message::Message::Hosts(_)
-            | message::Message::Moving { .. }
             | message::Message::Delta(_) => {}
         }
     }
@@ -191,15 +193,40 @@
         }
     }
 
-    /// Tells followers of stripes whose owner is about to release them.
+    /// Tells entry hosts of stripes whose owner is about to release them; those of other domains
+    /// through one control host there. One that does not hear of it is told by the owner that it
+    /// does not hold the key.
     pub(super) fn tell_moving(&self, service: &item::Name, stripes: Vec<(u32, range::Token)>) {
         let message = message::Message::Moving {
             service: service.clone(),
             stripes,
         };
+        let followers = lock(&self.followers);
+        let controls = followers
+            .values()
+            .filter(|follower| follower.peer.role == message::Role::Control)
+            .filter(|follower| follower.peer.domain != self.settings.domain);
+        let relays: IndexMap<&id::Domain, &Follower> = controls
+            .map(|follower| (&follower.peer.domain, follower))
+            .collect();
+        let entries = followers
+            .values()
+            .filter(|follower| follower.peer.role == message::Role::Entry)
+            .filter(|follower| !relays.contains_key(&follower.peer.domain));
+        for follower in relays.values().copied().chain(entries) {
+            let _ = follower.link.send(message.clone());
+        }
+    }
+
+    /// Passes on, to the entry hosts of this domain, what the leader told of stripes that move.
+    fn relay_moving(&self, service: &item::Name, stripes: &[(u32, range::Token)]) {
+        let message = message::Message::Moving {
+            service: service.clone(),
+            stripes: stripes.to_vec(),
+        };
         for follower in lock(&self.followers).values() {
-            if follower.peer.role == message::Role::Entry {
-                // One that does not hear of it is told by the owner that it does not hold the key.
+            let entry = follower.peer.role == message::Role::Entry;
+            if entry && follower.peer.domain == self.settings.domain {
                 let _ = follower.link.send(message.clone());
             }
         }
--- a/crates/yucca-fleet/src/entry/desk.rs
+++ b/crates/yucca-fleet/src/entry/desk.rs
@@ -8,7 +8,8 @@
 use rand::Rng;
 use tokio::sync::{Notify, oneshot};
 use yucca_lane::shared::{service, target, window};
-use yucca_own::site::{balance, item, range, target as site};
+use yucca_own::site::{balance, delta, item, range, target as site};
+use yucca_wire::id;
 
 use crate::mutex::lock;
 
@@ -39,18 +40,25 @@
         }
     }
 
-    /// Takes in the targets and key owners of a service.
+    /// Takes in the targets of a service, and whether it is divided by key.
     pub fn update(
         &self,
         name: &item::Name,
         facts: &[target::Facts],
         keyed: bool,
-        map: Option<range::Map>,
         now: time::Duration,
     ) {
         self.with(name, |counter| {
             counter.service.set_targets(facts);
-            counter.service.set_map(keyed, map);
+            counter.service.set_keyed(keyed);
+            counter.service.dispatch(now)
+        });
+    }
+
+    /// Takes in owners of a service's keys that have changed.
+    pub fn follow(&self, version: id::Version, ranges: &delta::Ranges, now: time::Duration) {
+        self.with(&ranges.service, |counter| {
+            counter.service.follow(version, ranges);
             counter.service.dispatch(now)
         });
     }
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -117,6 +117,7 @@
         let controls: Vec<net::IpAddr> = controls.into_iter().collect();
         self.dial(&controls);
         self.pull();
+        self.poll();
         self.report();
     }
 
@@ -205,25 +206,58 @@
 
     /// Asks for what is newer than this host's version, first in this domain.
     fn pull(&mut self) {
-        let now = self.core.clock.now();
         let have = self.state.version;
-        let asked = self.pulled.is_some_and(|at| now < at + PULL_PATIENCE);
         let own = &self.core.settings.domain;
         let newer = self.links.values().filter(|control| control.version > have);
         let best = newer.min_by_key(|control| control.peer.domain != *own);
-        if let (Some(control), false) = (best, asked)
-            && control.link.send(message::Message::Pull { have })
-        {
+        if let Some(control) = best {
+            let link = control.link.clone();
+            self.pull_from(&link);
+        }
+    }
+
+    /// Asks for news where no control host of this domain is connected, since those of other domains
+    /// tell of versions rarely.
+    fn poll(&mut self) {
+        let own = &self.core.settings.domain;
+        let mut links = self.links.values();
+        if links.any(|control| control.peer.domain == *own) {
+            return;
+        }
+        let newest = self.links.values().max_by_key(|control| control.version);
+        if let Some(control) = newest {
+            let link = control.link.clone();
+            self.pull_from(&link);
+        }
+    }
+
+    fn pull_from(&mut self, link: &link::Link) {
+        let now = self.core.clock.now();
+        let asked = self.pulled.is_some_and(|at| now < at + PULL_PATIENCE);
+        let have = self.state.version;
+        if !asked && link.send(message::Message::Pull { have }) {
             self.pulled = Some(now);
         }
     }
 
-    fn note_delta(&mut self, delta: delta::Delta) {
+    fn note_delta(&mut self, mut delta: delta::Delta) {
         self.pulled = None;
         let to = delta.to;
+        // The owners of keys are kept where requests are placed.
+        let ranges = std::mem::take(&mut delta.ranges);
+        let only_ranges = delta.items.is_empty() && delta.targets.is_empty();
         if self.state.follow(delta) {
             log::info!("state version={to} in force");
-            self.put_in_force();
+            if only_ranges {
+                let view = self.core.view.load().at(to);
+                self.core.view.store(sync::Arc::new(view));
+            } else {
+                self.put_in_force();
+            }
+            let now = self.core.clock.now();
+            for ranges in &ranges {
+                self.core.desk.follow(to, ranges, now);
+            }
         }
         self.note_synced();
     }
@@ -254,10 +288,9 @@
             of_service.push(self.fact(kept));
         }
         for (service, facts) in facts {
-            let map = self.state.ranges.get(service).cloned();
             let known = self.state.items.service(service);
             let keyed = known.is_some_and(|known| known.keyed);
-            self.core.desk.update(service, &facts, keyed, map, now);
+            self.core.desk.update(service, &facts, keyed, now);
         }
     }
 
--- a/crates/yucca-fleet/src/entry/view.rs
+++ b/crates/yucca-fleet/src/entry/view.rs
@@ -26,15 +26,17 @@
     pub address: net::SocketAddr,
 }
 
+/// Routes by the host name they are for, the longest prefix first.
+type Routes = IndexMap<String, Vec<sync::Arc<Route>>>;
+
 /// One version of the state.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct View {
     /// The version.
     pub version: yucca_wire::id::Version,
-    /// Routes by the host name they are for, the longest prefix first.
-    routes: IndexMap<String, Vec<sync::Arc<Route>>>,
+    routes: sync::Arc<Routes>,
     /// The targets.
-    pub targets: IndexMap<target::Number, Target>,
+    pub targets: sync::Arc<IndexMap<target::Number, Target>>,
     /// What callers may send.
     pub limits: Option<item::Limits>,
 }
@@ -42,10 +44,8 @@
 impl View {
     /// Returns the view of a state.
     pub fn new(state: &site::State) -> Self {
-        let mut view = Self {
-            version: state.version,
-            ..Self::default()
-        };
+        let mut routes = Routes::new();
+        let mut limits = None;
         for (key, kept) in state.items.standing() {
             match &kept.body {
                 Some(item::Body::Route(route)) => {
@@ -54,24 +54,37 @@
                         revision: kept.revision,
                         route: route.clone(),
                     };
-                    let routes = view.routes.entry(route.host.to_ascii_lowercase());
-                    routes.or_default().push(sync::Arc::new(entry));
+                    let of_host = routes.entry(route.host.to_ascii_lowercase());
+                    of_host.or_default().push(sync::Arc::new(entry));
                 }
-                Some(item::Body::Limits(limits)) => view.limits = Some(limits.clone()),
+                Some(item::Body::Limits(known)) => limits = Some(known.clone()),
                 Some(item::Body::Service(_)) | None => {}
             }
         }
-        for routes in view.routes.values_mut() {
-            routes.sort_by_key(|entry| std::cmp::Reverse(entry.route.prefix.len()));
+        for of_host in routes.values_mut() {
+            of_host.sort_by_key(|entry| std::cmp::Reverse(entry.route.prefix.len()));
         }
-        for kept in state.targets.iter() {
+        let targets = state.targets.iter().map(|kept| {
             let target = Target {
                 name: kept.target.life.name.clone(),
                 address: kept.target.address,
             };
-            view.targets.insert(kept.number, target);
+            (kept.number, target)
+        });
+        Self {
+            version: state.version,
+            targets: sync::Arc::new(targets.collect()),
+            routes: sync::Arc::new(routes),
+            limits,
+        }
+    }
+
+    /// Returns the same view for a version in which only owners of keys have changed.
+    pub fn at(&self, version: yucca_wire::id::Version) -> Self {
+        Self {
+            version,
+            ..self.clone()
         }
-        view
     }
 
     /// Tells whether any configuration is known.
--- a/crates/yucca-fleet/src/mesh/message.rs
+++ b/crates/yucca-fleet/src/mesh/message.rs
@@ -93,7 +93,7 @@
     /// Answers [`Message::Pull`].
     Delta(Box<delta::Delta>),
     /// Stripes whose owner is about to release them. Until they get another token, requests for
-    /// them wait.
+    /// them wait. A control host passes it on to the entry hosts of its domain.
     Moving {
         /// The service.
         service: item::Name,
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -4,7 +4,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3;
-use yucca_own::site::{balance, item, range, target as site};
+use yucca_own::site::{balance, delta, item, range, target as site};
+use yucca_wire::id;
 
 use crate::shared::target;
 
@@ -108,8 +109,8 @@
     /// Stripes that their owner denied to hold.
     denied: IndexMap<u32, Denial>,
     waiting: IndexMap<u64, Request>,
-    /// Requests by stripe since the last report.
-    demand: IndexMap<u32, u32>,
+    /// Requests by key since the last report.
+    demand: IndexMap<u16, u32>,
 }
 
 impl Service {
@@ -125,10 +126,15 @@
         }
     }
 
-    /// Takes in whether the service is divided by key, and the owners of the keys.
-    pub fn set_map(&mut self, keyed: bool, map: Option<range::Map>) {
+    /// Takes in whether the service is divided by key.
+    pub fn set_keyed(&mut self, keyed: bool) {
         self.keyed = keyed;
-        self.map = map;
+    }
+
+    /// Takes in owners of keys that have changed.
+    pub fn follow(&mut self, version: id::Version, ranges: &delta::Ranges) {
+        let map = self.map.get_or_insert_with(|| range::Map::new(ranges.count));
+        map.follow(version, &ranges.stripes);
     }
 
     /// Takes in that the owner of some stripes is about to release them. Requests for them wait until
@@ -182,8 +188,8 @@
 
     /// Takes in a request.
     pub fn arrive(&mut self, request: Request, now: time::Duration) -> Vec<Decision> {
-        if let (Some(key), Some(map), true) = (request.key, &self.map, self.keyed) {
-            *self.demand.entry(map.stripe_of(key)).or_default() += 1;
+        if let (Some(key), true) = (request.key, self.keyed) {
+            *self.demand.entry(key).or_default() += 1;
         }
         self.waiting.insert(request.number, request);
         self.dispatch(now)
@@ -195,7 +201,7 @@
         if !self.keyed {
             return;
         }
-        let demand: Vec<(u32, u32)> = self.demand.drain(..).collect();
+        let demand: Vec<(u16, u32)> = self.demand.drain(..).collect();
         if !demand.is_empty() {
             report.demand.push((name.clone(), demand));
         }
--- a/crates/yucca-lane/tests/shared_targets.rs
+++ b/crates/yucca-lane/tests/shared_targets.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use yucca_lane::shared::{service, target, window};
-use yucca_own::site::{range, target as site};
+use yucca_own::site::{delta, item, range, target as site};
 use yucca_wire::id;
 
 const fn ms(millis: u64) -> time::Duration {
@@ -42,6 +42,20 @@
         .collect()
 }
 
+/// Tells a service of the owners of its keys.
+fn follow(service: &mut service::Service, map: &range::Map) {
+    let stripes = map.iter();
+    let ranges = delta::Ranges {
+        service: item::Name("s".into()),
+        count: map.count(),
+        stripes: stripes
+            .filter_map(|(number, stripe)| Some((number, stripe.owner?, stripe.token)))
+            .collect(),
+    };
+    service.set_keyed(true);
+    service.follow(id::Version(1), &ranges);
+}
+
 #[test]
 fn near_targets_go_first_and_far_ones_before_a_queue() {
     let mut service = service::Service::default();
@@ -135,7 +149,7 @@
     map.assign(
         id::Version(1),
         &range::Assignment {
-            service: yucca_own::site::item::Name("s".into()),
+            service: item::Name("s".into()),
             count: 16,
             owner: site::Number(owner),
             stripes: (0..16).map(|stripe| (stripe, range::Token(0))).collect(),
@@ -143,7 +157,7 @@
     );
     let mut service = service::Service::default();
     service.set_targets(&[facts(0, true), facts(1, true)]);
-    service.set_map(true, Some(map.clone()));
+    follow(&mut service, &map);
     (service, map)
 }
 
@@ -186,13 +200,13 @@
     map.assign(
         id::Version(2),
         &range::Assignment {
-            service: yucca_own::site::item::Name("s".into()),
+            service: item::Name("s".into()),
             count: 16,
             owner: site::Number(0),
             stripes: vec![(0, range::Token(1))],
         },
     );
-    service.set_map(true, Some(map));
+    follow(&mut service, &map);
     assert_eq!(sent(&service.dispatch(ms(10))), [(0, 0)]);
 }
 
--- a/crates/yucca-own/src/site.rs
+++ b/crates/yucca-own/src/site.rs
@@ -27,6 +27,8 @@
     Leave(target::Life),
     /// Ranges get an owner.
     Assign(range::Assignment),
+    /// Busy stripes of a service are split into their keys.
+    Split(item::Name, Vec<u32>),
 }
 
 /// What came of a command.
@@ -76,6 +78,12 @@
                 Outcome::Done
             }
             Command::Assign(assignment) => self.assign(version, assignment),
+            Command::Split(service, stripes) => {
+                if let Some(map) = self.ranges.get_mut(&service) {
+                    map.split(version, &stripes);
+                }
+                Outcome::Done
+            }
         }
     }
 
--- a/crates/yucca-own/src/site/balance.rs
+++ b/crates/yucca-own/src/site/balance.rs
@@ -1,4 +1,4 @@
-//! How much work each stripe brings and how fast each target is, as entry hosts measure it.
+//! How much work each key brings and how fast each target is, as entry hosts measure it.
 //!
 //! Load pattern: targets of one service differ in speed by more than two, and a run of
 //! neighbouring keys can get a third of the requests for some seconds. Shared out by number, slow
@@ -13,16 +13,22 @@
 use crate::site::{item, range, target};
 
 /// The time over which demand is averaged; busy keys change within a few seconds.
-const DEMAND_SPAN: time::Duration = time::Duration::from_millis(2_500);
+const DEMAND_SPAN: time::Duration = time::Duration::from_millis(1_500);
 
 /// How much a new sample weighs in a target's mean time, for each request of it.
 const SAMPLE_WEIGHT: f64 = 0.04;
 
-/// The part of the demand that is presumed to be spread evenly, so that idle stripes count, too.
-const EVEN_SHARE: f64 = 0.5;
+/// The part of the demand that is presumed to be spread evenly, so that idle keys count, too.
+const EVEN_SHARE: f64 = 0.25;
 
-/// The presumed demand of a service without any, in requests a second for each stripe.
-const IDLE_RATE: f64 = 0.01;
+/// The presumed demand of a service without any, in requests a second over all keys.
+const IDLE_RATE: f64 = 10.0;
+
+/// A key that is asked for less often than this, in requests a second, is forgotten.
+const FORGOTTEN_RATE: f64 = 0.01;
+
+/// Demand is kept relative to a moment that is moved on after this time.
+const REBASE_AFTER: time::Duration = time::Duration::from_secs(10);
 
 /// The greatest difference in speed that is believed, either way.
 const MAX_SPEED_RATIO: f64 = 3.0;
@@ -30,8 +36,8 @@
 /// What one entry host has measured since its last report.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// Requests by service and stripe.
-    pub demand: Vec<(item::Name, Vec<(u32, u32)>)>,
+    /// Requests by service and key.
+    pub demand: Vec<(item::Name, Vec<(u16, u32)>)>,
     /// Targets with the number of requests measured and their whole time in microseconds.
     pub times: Vec<(target::Number, u32, u64)>,
 }
@@ -43,13 +49,13 @@
     }
 }
 
-/// The demand of one service.
+/// The demand of one service. Rates grow with the time since `base` instead of all others being
+/// decayed at each report.
 #[derive(Debug, Clone, Default)]
 struct Demand {
-    /// Requests a second by stripe.
-    rates: IndexMap<u32, f64>,
-    total: f64,
-    updated: time::Duration,
+    /// Requests a second by key, as of `base`.
+    rates: IndexMap<u16, f64>,
+    base: time::Duration,
 }
 
 /// What was measured lately.
@@ -65,10 +71,7 @@
     pub fn note(&mut self, report: &Report, now: time::Duration) {
         for (service, counts) in &report.demand {
             let demand = self.demand.entry(service.clone()).or_default();
-            demand.decay(now);
-            for (stripe, count) in counts {
-                demand.add(*stripe, f64::from(*count));
-            }
+            demand.add(counts, now);
         }
         for (number, count, micros) in &report.times {
             if *count > 0 {
@@ -85,14 +88,24 @@
     }
 
     /// Returns the scale on which a service's stripes are weighed.
-    pub fn scale(&self, service: &item::Name, map: &range::Map) -> Scale<'_> {
-        let demand = self.demand.get(service);
-        let total = demand.map_or(0.0, |demand| demand.total);
-        let count = f64::from(map.count().max(1));
+    pub fn scale(&self, service: &item::Name, map: &range::Map, now: time::Duration) -> Scale {
+        let mut stripes: IndexMap<u32, f64> = IndexMap::new();
+        let mut asked = 0.0;
+        if let Some(demand) = self.demand.get(service) {
+            let kept = demand.kept(now);
+            for (key, rate) in &demand.rates {
+                *stripes.entry(map.stripe_of(*key)).or_default() += rate * kept;
+                asked += rate * kept;
+            }
+        }
+        for weight in stripes.values_mut() {
+            *weight *= 1.0 - EVEN_SHARE;
+        }
+        let even = asked * EVEN_SHARE + IDLE_RATE;
         Scale {
-            rates: demand.map(|demand| &demand.rates),
-            even: total / count * EVEN_SHARE + IDLE_RATE,
-            total: total + IDLE_RATE * count,
+            stripes,
+            even: even / f64::from(range::KEYS),
+            total: asked + IDLE_RATE,
         }
     }
 
@@ -129,23 +142,40 @@
 }
 
 /// Weighs the stripes of one service by the work that they bring, in requests a second.
-#[derive(Debug, Clone, Copy)]
-pub struct Scale<'a> {
-    rates: Option<&'a IndexMap<u32, f64>>,
+#[derive(Debug, Clone, Default)]
+pub struct Scale {
+    /// The part of each stripe's work that was measured.
+    stripes: IndexMap<u32, f64>,
+    /// The presumed part, for each key.
     even: f64,
     total: f64,
 }
 
-impl Scale<'_> {
+impl Scale {
     /// Returns the work of one stripe.
-    pub fn weight(&self, stripe: u32) -> f64 {
-        let rate = self.rates.and_then(|rates| rates.get(&stripe));
-        rate.copied().unwrap_or(0.0) * (1.0 - EVEN_SHARE) + self.even
+    pub fn weight(&self, map: &range::Map, stripe: u32) -> f64 {
+        let keys = map.keys(stripe).len() as f64;
+        self.measured(stripe) + self.even * keys
+    }
+
+    /// Returns the part of a stripe's work that was measured.
+    pub fn measured(&self, stripe: u32) -> f64 {
+        self.stripes.get(&stripe).copied().unwrap_or(0.0)
+    }
+
+    /// Returns how many requests so much work was measured by.
+    pub fn requests(&self, measured: f64) -> f64 {
+        measured * DEMAND_SPAN.as_secs_f64()
+    }
+
+    /// Returns the standard deviation of measured work: that of a count is its root.
+    pub fn chance(&self, measured: f64) -> f64 {
+        measured / self.requests(measured).max(1.0).sqrt()
     }
 
     /// Returns the work of some stripes.
-    pub fn sum(&self, stripes: impl Iterator<Item = u32>) -> f64 {
-        stripes.map(|stripe| self.weight(stripe)).sum()
+    pub fn sum(&self, map: &range::Map, stripes: impl Iterator<Item = u32>) -> f64 {
+        stripes.map(|stripe| self.weight(map, stripe)).sum()
     }
 
     /// Returns the work of the whole service.
@@ -155,20 +185,28 @@
 }
 
 impl Demand {
-    fn decay(&mut self, now: time::Duration) {
-        let passed = now.saturating_sub(self.updated).as_secs_f64();
-        self.updated = self.updated.max(now);
-        let kept = (-passed / DEMAND_SPAN.as_secs_f64()).exp();
-        for rate in self.rates.values_mut() {
-            *rate *= kept;
+    /// Returns the part of a rate as of `base` that is left.
+    fn kept(&self, now: time::Duration) -> f64 {
+        let passed = now.saturating_sub(self.base).as_secs_f64();
+        (-passed / DEMAND_SPAN.as_secs_f64()).exp()
+    }
+
+    fn add(&mut self, counts: &[(u16, u32)], now: time::Duration) {
+        if now > self.base + REBASE_AFTER {
+            self.rebase(now);
+        }
+        let scale = 1.0 / (DEMAND_SPAN.as_secs_f64() * self.kept(now));
+        for (key, count) in counts {
+            *self.rates.entry(*key).or_default() += f64::from(*count) * scale;
         }
-        self.rates.retain(|_, rate| *rate > IDLE_RATE);
-        self.total *= kept;
     }
 
-    fn add(&mut self, stripe: u32, count: f64) {
-        let rate = count / DEMAND_SPAN.as_secs_f64();
-        *self.rates.entry(stripe).or_default() += rate;
-        self.total += rate;
+    fn rebase(&mut self, now: time::Duration) {
+        let kept = self.kept(now);
+        for rate in self.rates.values_mut() {
+            *rate *= kept;
+        }
+        self.rates.retain(|_, rate| *rate > FORGOTTEN_RATE);
+        self.base = now;
     }
 }
--- a/crates/yucca-own/src/site/delta.rs
+++ b/crates/yucca-own/src/site/delta.rs
@@ -78,17 +78,7 @@
         for ranges in delta.ranges {
             let map = self.ranges.entry(ranges.service);
             let map = map.or_insert_with(|| range::Map::new(ranges.count));
-            for (number, owner, token) in ranges.stripes {
-                let owner = Some(owner);
-                map.adopt(
-                    number,
-                    range::Stripe {
-                        owner,
-                        token,
-                        changed,
-                    },
-                );
-            }
+            map.follow(changed, &ranges.stripes);
         }
         self.version = delta.to;
         true
@@ -96,7 +86,7 @@
 }
 
 fn ranges_since(service: &item::Name, map: &range::Map, from: id::Version) -> Option<Ranges> {
-    let changed = map.iter().filter(|(_, stripe)| stripe.changed > from);
+    let changed = map.changed_since(from).into_iter();
     let stripes: Vec<_> = changed
         .filter_map(|(number, stripe)| Some((number, stripe.owner?, stripe.token)))
         .collect();
--- a/crates/yucca-own/src/site/lease.rs
+++ b/crates/yucca-own/src/site/lease.rs
@@ -6,6 +6,7 @@
 //! renewals of the one before, so it takes every lease as renewed in the moment of its election.
 
 mod beat;
+mod plan;
 
 use std::time;
 
@@ -28,15 +29,6 @@
 /// Up to so many stripes a target's claim needs no merging of neighbours to stay under the limit.
 const SCATTERED_STRIPES: u32 = 128;
 
-/// A target gives stripes away when its work exceeds its share by this factor.
-const SURPLUS_FACTOR: f64 = 1.25;
-
-/// A target that has less than this part of its share gets stripes from all that exceed theirs.
-const POOR_FACTOR: f64 = 0.6;
-
-/// Of its surplus, a target gives this part away at one heartbeat.
-const SHED_PART: f64 = 0.7;
-
 /// Up to so many targets, each may have more stripes than fit, since neighbours merge.
 const FEW_TARGETS: usize = 6;
 
@@ -79,10 +71,12 @@
     config: Config,
     since: time::Duration,
     holders: IndexMap<target::Number, Holder>,
-    handovers: IndexMap<(item::Name, u32), String>,
+    /// The marks of released stripes, by service.
+    handovers: IndexMap<item::Name, IndexMap<u32, String>>,
     /// Stripes that are about to get another owner, with the one they have. They are not renewed.
-    changing: IndexMap<(item::Name, u32), Option<target::Number>>,
+    changing: IndexMap<item::Name, IndexMap<u32, Option<target::Number>>>,
     balance: balance::Balance,
+    plans: IndexMap<item::Name, plan::Plan>,
     /// Since when a service always had stripes that could be claimed.
     free_since: IndexMap<item::Name, time::Duration>,
     /// When the first target of a service was heard.
@@ -99,6 +93,7 @@
             handovers: IndexMap::new(),
             changing: IndexMap::new(),
             balance: balance::Balance::default(),
+            plans: IndexMap::new(),
             free_since: IndexMap::new(),
             first: IndexMap::new(),
         }
@@ -135,10 +130,11 @@
         if !self.advance(kept.number, beat.sequence) {
             return false;
         }
-        for (stripes, handover) in &beat.released {
-            for stripe in stripes {
-                let key = (kept.target.service.clone(), *stripe);
-                self.handovers.insert(key, handover.clone());
+        if !beat.released.is_empty() {
+            let handovers = self.handovers.entry(kept.target.service.clone());
+            let handovers = handovers.or_default();
+            for (stripes, handover) in &beat.released {
+                handovers.extend(stripes.iter().map(|stripe| (*stripe, handover.clone())));
             }
         }
         self.forget_used_handovers(kept, map, beat);
@@ -160,6 +156,27 @@
         true
     }
 
+    /// Returns busy stripes of a target that should be split before it gives some away.
+    pub fn splits(&mut self, state: &State, kept: &target::Kept, now: time::Duration) -> Vec<u32> {
+        let service = &kept.target.service;
+        let Some(map) = state.ranges.get(service) else {
+            return Vec::new();
+        };
+        if !self.may_move(now) || kept.target.phase != target::Phase::Ready {
+            return Vec::new();
+        }
+        self.make_plan(state, service, map, now);
+        let plan = self.plans.get(service);
+        let owned = self.kept_stripes(service, map, kept.number);
+        let splits = plan.map(|plan| plan.split(kept.number, map, owned));
+        let splits = splits.unwrap_or_default();
+        if !splits.is_empty() {
+            // The plan knows the weight of the stripes, not of their keys.
+            self.plans.swap_remove(service);
+        }
+        splits
+    }
+
     /// Returns the stripes that a target should get now, to be agreed on before they are granted.
     /// [`Book::settle`] must be told when that is over.
     pub fn claim(
@@ -172,7 +189,6 @@
         if kept.target.phase != target::Phase::Ready {
             return None;
         }
-        let eligible = self.eligible(state, service, now);
         let shared_out = state.ranges.get(service);
         let first = self.first.get(service).copied().unwrap_or(now);
         if shared_out.is_none() && now < first + self.config.settle {
@@ -182,62 +198,135 @@
         let map = match shared_out {
             Some(map) => map,
             None => {
+                let eligible = self.eligible(state, service, now);
                 fresh = range::Map::new(range::stripe_count(eligible.len()));
                 &fresh
             }
         };
-        let shares = self.balance.shares(&eligible);
-        let share = shares.get(&kept.number).copied().unwrap_or(0.0);
-        let scale = self.balance.scale(service, map);
-        let quota = scale.total() * share;
-        let owned: Vec<u32> = self.kept_stripes(service, map, kept.number).collect();
-        let mut work = scale.sum(owned.iter().copied());
-        if work >= quota && !self.free_since.contains_key(service) {
+        self.make_plan(state, service, map, now);
+        let stripes = self.choose(state, map, kept, now)?;
+        let count = map.count();
+        let changing = self.changing.entry(service.clone()).or_default();
+        for (number, _) in &stripes {
+            changing.insert(*number, map.get(*number).and_then(|stripe| stripe.owner));
+        }
+        (!stripes.is_empty()).then(|| range::Assignment {
+            service: service.clone(),
+            count,
+            owner: kept.number,
+            stripes,
+        })
+    }
+
+    /// Returns the free stripes that a target takes, with their present tokens.
+    fn choose(
+        &mut self,
+        state: &State,
+        map: &range::Map,
+        kept: &target::Kept,
+        now: time::Duration,
+    ) -> Option<Vec<(u32, range::Token)>> {
+        let service = &kept.target.service;
+        let plan = self.plans.get(service)?;
+        let mut entry = *plan.entry(kept.number)?;
+        if entry.work >= entry.quota && !self.free_since.contains_key(service) {
             return None;
         }
-        let free = map
-            .iter()
-            .filter(|(number, _)| !self.changing.contains_key(&(service.clone(), *number)))
-            .filter(|(number, stripe)| self.is_free(state, *number, stripe, kept.number, now));
-        let mut free: Vec<(u32, range::Token)> = free
-            .map(|(number, stripe)| (number, stripe.token))
-            .collect();
+        let targets = plan.targets();
+        let share = entry.quota / plan.scale().total();
         let expected = (f64::from(map.count()) * share).ceil() as u32;
         let group = expected.div_ceil(SCATTERED_STRIPES).next_power_of_two();
-        free.sort_by_key(|(number, _)| (scatter(*number / group), *number));
+        let free = self.free(state, map, kept, now);
         let any = !free.is_empty();
-        let room = if eligible.len() > FEW_TARGETS {
-            MAX_ROWS.saturating_sub(rows(map, &owned))
+        let most = free.len().div_ceil(targets.max(1));
+        let room = if !has_few(targets) {
+            let owned: Vec<u32> = self.kept_stripes(service, map, kept.number).collect();
+            MAX_ROWS.saturating_sub(rows(map, &owned)) as usize
         } else {
-            range::MAX_STRIPES
+            free.len()
         };
-        let most = free.len().div_ceil(eligible.len().max(1));
-        free.truncate(room as usize);
         let spare = any && self.is_unwanted(service, now);
-        let mut taken = 0;
-        for (number, _) in &free {
-            if work >= quota && !(spare && taken < most) {
-                break;
+        let mut taken = Vec::new();
+        let mut gained = 0.0;
+        for number in first_scattered(free, room, group) {
+            let weight = plan.scale().weight(map, number);
+            if entry.takes(weight) || (spare && taken.len() < most) {
+                entry.work += weight;
+                gained += weight;
+                let token = map.get(number).map(|stripe| stripe.token);
+                taken.push((number, token.unwrap_or_default()));
             }
-            work += scale.weight(*number);
-            taken += 1;
         }
-        free.truncate(taken);
-        let count = map.count();
+        if let Some(plan) = self.plans.get_mut(service) {
+            plan.take(kept.number, gained);
+        }
         self.note_free(service, any, now);
-        let owners: Vec<Option<target::Number>> = free
-            .iter()
-            .map(|(number, _)| map.get(*number).and_then(|stripe| stripe.owner))
-            .collect();
-        for ((number, _), owner) in free.iter().zip(owners) {
-            self.changing.insert((service.clone(), *number), owner);
+        Some(taken)
+    }
+
+    /// Returns the stripes that a target may be given.
+    fn free(
+        &self,
+        state: &State,
+        map: &range::Map,
+        kept: &target::Kept,
+        now: time::Duration,
+    ) -> Vec<u32> {
+        let changing = self.changing.get(&kept.target.service);
+        let mut free: Vec<u32> = map.unowned().collect();
+        for owner in map.owners() {
+            if owner != kept.number && self.has_surely_ended(state, owner, now) {
+                free.extend(map.owned(owner));
+            } else if let Some(holder) = self.holders.get(&owner) {
+                // What the target itself has given back is given anew, under another token.
+                let released = holder.released.iter().copied();
+                free.extend(released.filter(|n| map.get(*n).is_some_and(|s| s.owner == Some(owner))));
+            }
         }
-        (!free.is_empty()).then(|| range::Assignment {
-            service: service.clone(),
-            count,
-            owner: kept.number,
-            stripes: free,
-        })
+        free.retain(|number| changing.is_none_or(|changing| !changing.contains_key(number)));
+        free
+    }
+
+    /// Tells whether a target surely holds nothing any more.
+    fn has_surely_ended(&self, state: &State, number: target::Number, now: time::Duration) -> bool {
+        let kept = state.targets.get(number);
+        if kept.is_none_or(|kept| kept.target.phase == target::Phase::Gone) {
+            return true;
+        }
+        let holder = self.holders.get(&number);
+        now >= holder.map_or(self.since + self.config.expiry(), |holder| holder.expires)
+    }
+
+    /// Makes the plan of a service anew where it is out of date.
+    fn make_plan(
+        &mut self,
+        state: &State,
+        service: &item::Name,
+        map: &range::Map,
+        now: time::Duration,
+    ) {
+        let eligible = self.eligible(state, service, now);
+        let plan = self.plans.get(service);
+        if plan.is_some_and(|plan| plan.fits(&eligible, now)) {
+            return;
+        }
+        let shares = self.balance.shares(&eligible);
+        let scale = self.balance.scale(service, map, now);
+        let entries = shares.into_iter().map(|(number, share)| {
+            let owned: Vec<u32> = self.kept_stripes(service, map, number).collect();
+            let measured = owned.iter().map(|stripe| scale.measured(*stripe)).sum();
+            let entry = plan::Entry {
+                work: scale.sum(map, owned.iter().copied()),
+                chance: scale.chance(measured),
+                quota: scale.total() * share,
+                room: has_few(eligible.len()) || rows(map, &owned) < MAX_ROWS,
+                surplus: 0.0,
+            };
+            (number, entry)
+        });
+        let entries = entries.collect();
+        let plan = plan::Plan::new(entries, scale, now);
+        self.plans.insert(service.clone(), plan);
     }
 
     /// Tells whether stripes stay free although all targets have been heard since: those that would
@@ -259,8 +348,9 @@
     /// lost and so is this book.
     pub fn settle(&mut self, claim: &range::Assignment, agreed: bool) {
         for (number, _) in &claim.stripes {
-            let key = (claim.service.clone(), *number);
-            let owner = self.changing.swap_remove(&key).flatten();
+            let changing = self.changing.get_mut(&claim.service);
+            let owner = changing.and_then(|changing| changing.swap_remove(number));
+            let owner = owner.flatten();
             let Some(holder) = owner.and_then(|owner| self.holders.get_mut(&owner)) else {
                 continue;
             };
@@ -290,10 +380,10 @@
         };
         let kept_stripes: IndexSet<u32> = self.kept_stripes(service, map, kept.number).collect();
         let owned = map.owned(kept.number);
-        let handovers = kept_stripes.iter().filter_map(|stripe| {
-            let handover = self.handovers.get(&(service.clone(), *stripe))?;
-            Some((*stripe, handover.clone()))
-        });
+        let handovers = self.handovers.get(service).into_iter().flatten();
+        let handovers = handovers
+            .filter(|(stripe, _)| kept_stripes.contains(*stripe))
+            .map(|(stripe, handover)| (*stripe, handover.clone()));
         let renewal = Renewal {
             version: state.version,
             without: owned
@@ -315,10 +405,15 @@
         let owned: Vec<u32> = self
             .kept_stripes(&kept.target.service, map, kept.number)
             .collect();
-        let given = if kept.target.phase == target::Phase::Ready {
-            self.surplus(state, map, kept, owned, now)
-        } else {
+        let given = if kept.target.phase != target::Phase::Ready {
             owned
+        } else if self.may_move(now) {
+            self.make_plan(state, &kept.target.service, map, now);
+            let plan = self.plans.get_mut(&kept.target.service);
+            plan.map(|plan| plan.give(kept.number, map, owned))
+                .unwrap_or_default()
+        } else {
+            Vec::new()
         };
         let holder = self.holder(kept.number);
         let sequence = holder.sequence;
@@ -328,54 +423,9 @@
         given
     }
 
-    /// Returns the stripes that a target has too many, where another one lacks some.
-    fn surplus(
-        &self,
-        state: &State,
-        map: &range::Map,
-        kept: &target::Kept,
-        mut owned: Vec<u32>,
-        now: time::Duration,
-    ) -> Vec<u32> {
-        // Right after an election a release can't be told from an old heartbeat.
-        if now < self.since + self.config.expiry() {
-            return Vec::new();
-        }
-        let service = &kept.target.service;
-        let eligible = self.eligible(state, service, now);
-        let shares = self.balance.shares(&eligible);
-        let scale = self.balance.scale(service, map);
-        let share = |number| shares.get(&number).copied().unwrap_or(0.0);
-        let quota = scale.total() * share(kept.number);
-        let work = scale.sum(owned.iter().copied());
-        if work <= quota {
-            return Vec::new();
-        }
-        let poorest = eligible
-            .iter()
-            .filter(|other| other.number != kept.number)
-            .filter(|other| has_room(map, other.number, eligible.len()))
-            .map(|other| {
-                let has = scale.sum(map.owned(other.number));
-                has / (scale.total() * share(other.number))
-            })
-            .fold(f64::INFINITY, f64::min);
-        let worth_it = work > quota * SURPLUS_FACTOR && poorest < 1.0;
-        if !worth_it && poorest >= POOR_FACTOR {
-            return Vec::new();
-        }
-        let mut surplus = (work - quota) * SHED_PART;
-        // The heaviest first, so that few change hands; one that is too heavy stays.
-        let weight = |stripe: &u32| scale.weight(*stripe);
-        owned.sort_by(|one, other| weight(other).total_cmp(&weight(one)));
-        owned.retain(|stripe| {
-            let fits = weight(stripe) <= surplus;
-            if fits {
-                surplus -= weight(stripe);
-            }
-            fits
-        });
-        owned
+    /// Right after an election a release can't be told from an old heartbeat, so nothing is moved.
+    fn may_move(&self, now: time::Duration) -> bool {
+        now >= self.since + self.config.expiry()
     }
 
     fn holder(&mut self, number: target::Number) -> &mut Holder {
@@ -397,23 +447,17 @@
 
     /// A handover is repeated until the new owner is seen to hold the stripe.
     fn forget_used_handovers(&mut self, kept: &target::Kept, map: &range::Map, beat: &Digest) {
-        let Held::Stripes(held) = &beat.held else {
-            let service = &kept.target.service;
-            self.handovers.retain(|(of, stripe), _| {
-                let owner = map.get(*stripe).and_then(|stripe| stripe.owner);
-                of != service || owner != Some(kept.number)
-            });
+        let Some(handovers) = self.handovers.get_mut(&kept.target.service) else {
             return;
         };
-        for number in held {
-            if map
-                .get(*number)
-                .is_some_and(|s| s.owner == Some(kept.number))
-            {
-                self.handovers
-                    .swap_remove(&(kept.target.service.clone(), *number));
-            }
-        }
+        handovers.retain(|stripe, _| {
+            let held = match &beat.held {
+                Held::Owned => true,
+                Held::Stripes(held) => held.contains(stripe),
+            };
+            let owner = map.get(*stripe).and_then(|stripe| stripe.owner);
+            !held || owner != Some(kept.number)
+        });
     }
 
     /// Returns the stripes that a target owns and is to keep.
@@ -424,39 +468,10 @@
         number: target::Number,
     ) -> impl Iterator<Item = u32> + 'a {
         let holder = self.holders.get(&number);
+        let changing = self.changing.get(service);
         map.owned(number)
             .filter(move |stripe| holder.is_none_or(|h| !h.leaving.contains_key(stripe)))
-            .filter(move |stripe| {
-                self.changing.is_empty() || !self.changing.contains_key(&(service.clone(), *stripe))
-            })
-    }
-
-    /// Tells whether a stripe may be given to a target that does not own it.
-    fn is_free(
-        &self,
-        state: &State,
-        number: u32,
-        stripe: &range::Stripe,
-        to: target::Number,
-        now: time::Duration,
-    ) -> bool {
-        let Some(owner) = stripe.owner else {
-            return true;
-        };
-        let ended = state
-            .targets
-            .get(owner)
-            .is_none_or(|kept| kept.target.phase == target::Phase::Gone);
-        if ended {
-            return true;
-        }
-        match self.holders.get(&owner) {
-            // What the target itself has given back is given anew, under another token.
-            Some(holder) if owner == to => holder.released.contains(&number),
-            None if owner == to => false,
-            Some(holder) => now >= holder.expires || holder.released.contains(&number),
-            None => now >= self.since + self.config.expiry(),
-        }
+            .filter(move |stripe| changing.is_none_or(|c| !c.contains_key(stripe)))
     }
 
     /// Returns the targets of a service that may get keys.
@@ -480,10 +495,23 @@
     }
 }
 
-/// Tells whether a target has room for further rows.
-fn has_room(map: &range::Map, number: target::Number, targets: usize) -> bool {
-    let owned: Vec<u32> = map.owned(number).collect();
-    targets <= FEW_TARGETS || rows(map, &owned) < MAX_ROWS
+/// Tells whether there are so few targets that rows don't limit what each may have.
+fn has_few(targets: usize) -> bool {
+    targets <= FEW_TARGETS
+}
+
+/// Returns the first stripes in an order in which neighbours, or groups of neighbours, are far apart.
+fn first_scattered(free: Vec<u32>, most: usize, group: u32) -> Vec<u32> {
+    let mut order: Vec<(u64, u32)> = free
+        .into_iter()
+        .map(|number| (scatter(number / group), number))
+        .collect();
+    if order.len() > most {
+        order.select_nth_unstable(most);
+        order.truncate(most);
+    }
+    order.sort_unstable();
+    order.into_iter().map(|(_, number)| number).collect()
 }
 
 /// Returns how many rows some stripes, in order, take: neighbours under one token share a row.
--- a/crates/yucca-own/src/site/lease/beat.rs
+++ b/crates/yucca-own/src/site/lease/beat.rs
@@ -113,8 +113,10 @@
             .iter()
             .map(|(stripe, handover)| (*stripe, handover))
             .collect();
+        let mut owned: Vec<u32> = map.owned(number).collect();
+        owned.sort_unstable_by_key(|stripe| *map.keys(*stripe).start());
         let mut rows: Vec<Grant> = Vec::new();
-        for number in map.owned(number) {
+        for number in owned {
             let Some(stripe) = map.get(number) else {
                 continue;
             };
--- a/crates/yucca-own/src/site/range.rs
+++ b/crates/yucca-own/src/site/range.rs
@@ -1,9 +1,10 @@
 //! The owners of a service's keys.
 //!
 //! Keys are 16-bit numbers, cut into stripes of equal width. A stripe has one owner. The stripes
-//! of one owner are scattered, so that a run of busy neighbouring keys falls on many targets.
+//! of one owner are scattered, so that a run of busy neighbouring keys falls on many targets. A busy
+//! stripe can be split into its keys; each of them is a stripe of its own from then on.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::fmt;
 use std::ops;
 
@@ -23,6 +24,12 @@
 /// of 4 KiB have room for about 190 rows, so a third of the targets may be lost.
 const STRIPES_PER_TARGET: u32 = 100;
 
+/// Stripes of a single key are numbered from here, by their key.
+const SINGLE: u32 = KEYS;
+
+/// So many of the latest changes are kept in order, for followers that lack only those.
+const RECENT_CHANGES: usize = 4096;
+
 /// A fencing token. It only rises for each key.
 #[derive(
     Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -62,26 +69,61 @@
 }
 
 /// The stripes of one service.
-#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 #[serde(from = "Kept", into = "Kept")]
 pub struct Map {
+    /// The stripes of equal width; those that were split are unused.
     stripes: Vec<Stripe>,
+    /// The keys of stripes that were split.
+    singles: BTreeMap<u16, Stripe>,
     last: Token,
-    /// The stripes of each owner.
-    owned: IndexMap<target::Number, BTreeSet<u32>>,
+    /// The stripes of each owner, and those without one.
+    owned: IndexMap<Option<target::Number>, BTreeSet<u32>>,
+    recent: Recent,
+}
+
+/// The latest changes in the order of their versions.
+#[derive(Debug, Clone, Default)]
+struct Recent {
+    changes: VecDeque<(id::Version, u32)>,
+    /// Changes up to this version are not kept any more.
+    complete_after: id::Version,
+}
+
+impl Recent {
+    fn note(&mut self, version: id::Version, number: u32) {
+        self.changes.push_back((version, number));
+        if self.changes.len() > RECENT_CHANGES
+            && let Some((version, _)) = self.changes.pop_front()
+        {
+            self.complete_after = self.complete_after.max(version);
+        }
+    }
 }
 
 /// A map as it is kept: the index of owners follows from the stripes.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct Kept {
     stripes: Vec<Stripe>,
+    singles: BTreeMap<u16, Stripe>,
     last: Token,
 }
 
+/// The index of owners follows from the stripes, and what is recent is no part of the state.
+impl PartialEq for Map {
+    fn eq(&self, other: &Self) -> bool {
+        let own = (&self.stripes, &self.singles, self.last);
+        own == (&other.stripes, &other.singles, other.last)
+    }
+}
+
+impl Eq for Map {}
+
 impl From<Map> for Kept {
     fn from(map: Map) -> Self {
         Self {
             stripes: map.stripes,
+            singles: map.singles,
             last: map.last,
         }
     }
@@ -89,17 +131,20 @@
 
 impl From<Kept> for Map {
     fn from(kept: Kept) -> Self {
-        let mut owned: IndexMap<target::Number, BTreeSet<u32>> = IndexMap::new();
-        for (number, stripe) in (0..).zip(&kept.stripes) {
-            if let Some(owner) = stripe.owner {
-                owned.entry(owner).or_default().insert(number);
-            }
-        }
-        Self {
+        let mut map = Self {
             stripes: kept.stripes,
+            singles: kept.singles,
             last: kept.last,
-            owned,
+            ..Self::default()
+        };
+        let mut owned: IndexMap<Option<target::Number>, BTreeSet<u32>> = IndexMap::new();
+        for (number, stripe) in map.iter() {
+            owned.entry(stripe.owner).or_default().insert(number);
         }
+        let newest = map.iter().map(|(_, stripe)| stripe.changed).max();
+        map.owned = owned;
+        map.recent.complete_after = newest.unwrap_or_default();
+        map
     }
 }
 
@@ -114,79 +159,161 @@
 impl Map {
     /// Returns stripes that nobody owns.
     pub fn new(count: u32) -> Self {
-        let count = count.clamp(1, MAX_STRIPES) as usize;
+        let count = count.clamp(1, MAX_STRIPES);
         Self {
-            stripes: vec![Stripe::default(); count],
-            last: Token(0),
-            owned: IndexMap::new(),
+            stripes: vec![Stripe::default(); count as usize],
+            owned: IndexMap::from([(None, (0..count).collect())]),
+            ..Self::default()
         }
     }
 
     /// Returns the stripes of an owner.
     pub fn owned(&self, owner: target::Number) -> impl Iterator<Item = u32> + '_ {
-        self.owned.get(&owner).into_iter().flatten().copied()
+        self.owned.get(&Some(owner)).into_iter().flatten().copied()
+    }
+
+    /// Returns the stripes that never had an owner.
+    pub fn unowned(&self) -> impl Iterator<Item = u32> + '_ {
+        self.owned.get(&None).into_iter().flatten().copied()
     }
 
-    /// Returns how many stripes an owner has.
-    pub fn owned_count(&self, owner: target::Number) -> u32 {
-        self.owned.get(&owner).map_or(0, |owned| owned.len() as u32)
+    /// Returns all that own stripes or did so.
+    pub fn owners(&self) -> impl Iterator<Item = target::Number> + '_ {
+        self.owned.keys().copied().flatten()
     }
 
     fn put(&mut self, number: u32, stripe: Stripe) {
-        let Some(slot) = self.stripes.get_mut(number as usize) else {
+        let slot = match number.checked_sub(SINGLE) {
+            Some(key) => self.singles.get_mut(&(key as u16)),
+            None => self.stripes.get_mut(number as usize),
+        };
+        let Some(slot) = slot else {
             return;
         };
         let before = std::mem::replace(slot, stripe).owner;
-        if let Some(owned) = before.and_then(|owner| self.owned.get_mut(&owner)) {
-            owned.remove(&number);
-        }
-        if let Some(owner) = stripe.owner {
-            self.owned.entry(owner).or_default().insert(number);
+        if before != stripe.owner {
+            if let Some(owned) = self.owned.get_mut(&before) {
+                owned.remove(&number);
+            }
+            self.owned.entry(stripe.owner).or_default().insert(number);
         }
+        self.recent.note(stripe.changed, number);
     }
 
-    /// Returns the number of stripes.
+    /// Returns into how many stripes of equal width the keys were cut.
     pub fn count(&self) -> u32 {
         self.stripes.len() as u32
     }
 
     /// Returns the stripes with their numbers.
     pub fn iter(&self) -> impl Iterator<Item = (u32, &Stripe)> {
-        (0..).zip(&self.stripes)
+        let whole = (0..).zip(&self.stripes);
+        let whole = whole.filter(|(number, _)| !self.is_split(*number));
+        let singles = self.singles.iter();
+        whole.chain(singles.map(|(key, stripe)| (SINGLE + u32::from(*key), stripe)))
+    }
+
+    /// Returns the stripes that changed after a version.
+    pub fn changed_since(&self, version: id::Version) -> Vec<(u32, &Stripe)> {
+        if version < self.recent.complete_after {
+            let changed = self.iter().filter(|(_, stripe)| stripe.changed > version);
+            return changed.collect();
+        }
+        let changes = self.recent.changes.iter().rev();
+        let numbers: BTreeSet<u32> = changes
+            .take_while(|(changed, _)| *changed > version)
+            .map(|(_, number)| *number)
+            .collect();
+        let numbers = numbers.into_iter();
+        numbers
+            .filter(|number| !self.is_split(*number))
+            .filter_map(|number| Some((number, self.get(number)?)))
+            .collect()
     }
 
     /// Returns a stripe.
-    pub fn get(&self, stripe: u32) -> Option<&Stripe> {
-        self.stripes.get(stripe as usize)
+    pub fn get(&self, number: u32) -> Option<&Stripe> {
+        match number.checked_sub(SINGLE) {
+            Some(key) => self.singles.get(&u16::try_from(key).ok()?),
+            None => self.stripes.get(number as usize),
+        }
     }
 
     /// Returns the stripe of a key.
     pub fn stripe_of(&self, key: u16) -> u32 {
+        if self.singles.contains_key(&key) {
+            return SINGLE + u32::from(key);
+        }
+        self.whole_of(key)
+    }
+
+    /// Returns the stripe of equal width that a key is in, split or not.
+    fn whole_of(&self, key: u16) -> u32 {
         // The first key of stripe s is s * KEYS / count, rounded up.
         (u32::from(key) * self.count()) / KEYS
     }
 
+    /// Tells whether a stripe was split into its keys.
+    fn is_split(&self, number: u32) -> bool {
+        number < SINGLE
+            && !self.singles.is_empty()
+            && self.singles.contains_key(self.keys(number).start())
+    }
+
+    /// Tells whether a stripe is a single key, whether or not it was split from another.
+    pub fn is_single(&self, number: u32) -> bool {
+        number >= SINGLE || self.keys(number).len() == 1
+    }
+
     /// Returns the keys of a stripe, both ends included.
-    pub fn keys(&self, stripe: u32) -> ops::RangeInclusive<u16> {
+    pub fn keys(&self, number: u32) -> ops::RangeInclusive<u16> {
+        if let Some(key) = number.checked_sub(SINGLE) {
+            return key as u16..=key as u16;
+        }
         let count = self.count();
-        let first = (stripe * KEYS).div_ceil(count);
-        let next = ((stripe + 1) * KEYS).div_ceil(count);
+        let first = (number * KEYS).div_ceil(count);
+        let next = ((number + 1) * KEYS).div_ceil(count);
         first as u16..=(next - 1) as u16
     }
 
     /// Returns the stripes that lie wholly within a range of keys.
     pub fn within(&self, keys: ops::RangeInclusive<u16>) -> impl Iterator<Item = u32> + '_ {
         let (from, to) = (*keys.start(), *keys.end());
-        let candidates = self.stripe_of(from)..=self.stripe_of(to);
-        candidates.filter(move |stripe| {
+        self.touching(keys).filter(move |stripe| {
             let own = self.keys(*stripe);
             *own.start() >= from && *own.end() <= to
         })
     }
 
     /// Returns the stripes that share a key with a range of keys.
-    pub fn touching(&self, keys: ops::RangeInclusive<u16>) -> ops::RangeInclusive<u32> {
-        self.stripe_of(*keys.start())..=self.stripe_of(*keys.end())
+    pub fn touching(&self, keys: ops::RangeInclusive<u16>) -> impl Iterator<Item = u32> + '_ {
+        let whole = self.whole_of(*keys.start())..=self.whole_of(*keys.end());
+        let whole = whole.filter(|number| !self.is_split(*number));
+        let singles = self.singles.range(keys);
+        whole.chain(singles.map(|(key, _)| SINGLE + u32::from(*key)))
+    }
+
+    /// Splits stripes into their keys, which keep owner and token.
+    pub fn split(&mut self, version: id::Version, numbers: &[u32]) {
+        for number in numbers {
+            let Some(stripe) = self.get(*number).copied() else {
+                continue;
+            };
+            if !self.is_split(*number) && !self.is_single(*number) {
+                self.split_one(*number, Stripe { changed: version, ..stripe });
+            }
+        }
+    }
+
+    fn split_one(&mut self, number: u32, stripe: Stripe) {
+        let owned = self.owned.entry(stripe.owner).or_default();
+        owned.remove(&number);
+        for key in self.keys(number) {
+            let single = SINGLE + u32::from(key);
+            self.singles.insert(key, stripe);
+            self.owned.entry(stripe.owner).or_default().insert(single);
+            self.recent.note(stripe.changed, single);
+        }
     }
 
     /// Gives stripes to their new owner under one new token.
@@ -194,10 +321,8 @@
         let token = Token(self.last.0 + 1);
         let mut assigned = Vec::new();
         for (number, presumed) in &wanted.stripes {
-            if self
-                .get(*number)
-                .is_none_or(|stripe| stripe.token != *presumed)
-            {
+            let stands = self.get(*number).is_some_and(|s| s.token == *presumed);
+            if !stands || self.is_split(*number) {
                 continue;
             }
             let stripe = Stripe {
@@ -214,12 +339,30 @@
         (token, assigned)
     }
 
-    /// Takes a stripe as it is kept elsewhere.
-    pub fn adopt(&mut self, number: u32, stripe: Stripe) {
-        if self
-            .get(number)
-            .is_some_and(|own| own.token <= stripe.token)
+    /// Takes in the owners and tokens of stripes, as they are kept elsewhere.
+    pub fn follow(&mut self, changed: id::Version, stripes: &[(u32, target::Number, Token)]) {
+        for (number, owner, token) in stripes {
+            let stripe = Stripe {
+                owner: Some(*owner),
+                token: *token,
+                changed,
+            };
+            self.adopt(*number, stripe);
+        }
+    }
+
+    /// Takes a stripe as it is kept elsewhere, where the one it is part of may have been split.
+    fn adopt(&mut self, number: u32, stripe: Stripe) {
+        if let Some(key) = number.checked_sub(SINGLE)
+            && !self.singles.contains_key(&(key as u16))
         {
+            let whole = self.whole_of(key as u16);
+            if let Some(before) = self.get(whole).copied() {
+                self.split_one(whole, before);
+            }
+        }
+        let known = self.get(number);
+        if !self.is_split(number) && known.is_some_and(|own| own.token <= stripe.token) {
             self.put(number, stripe);
             self.last = self.last.max(stripe.token);
         }
--- a/crates/yucca-own/tests/key_leases.rs
+++ b/crates/yucca-own/tests/key_leases.rs
@@ -104,7 +104,13 @@
 
     fn apply(&mut self, command: Command) {
         self.version += 1;
+        let split = matches!(command, Command::Split(..));
         self.state.apply(id::Version(self.version), command);
+        if split && let Some(map) = self.state.ranges.values().next() {
+            for target in &mut self.targets {
+                split_holds(map, &mut target.holds);
+            }
+        }
     }
 
     fn step(&mut self) {
@@ -237,6 +243,10 @@
         if !self.book.hear(&self.state, &kept, &digest, self.now) {
             return Vec::new();
         }
+        let busy = self.book.splits(&self.state, &kept, self.now);
+        if !busy.is_empty() {
+            self.apply(Command::Split(kept.target.service.clone(), busy));
+        }
         if let Some(claim) = self.book.claim(&self.state, &kept, self.now) {
             self.apply(Command::Assign(claim.clone()));
             self.book.settle(&claim, true);
@@ -324,6 +334,18 @@
     }
 }
 
+/// Cuts what a target holds into the stripes that stand now.
+fn split_holds(map: &range::Map, holds: &mut IndexMap<u16, Hold>) {
+    for (_, hold) in std::mem::take(holds) {
+        for stripe in map.within(hold.keys.clone()) {
+            let keys = map.keys(stripe);
+            let first = *keys.start();
+            let (token, until) = (hold.token, hold.until);
+            holds.insert(first, Hold { keys, token, until });
+        }
+    }
+}
+
 /// Plays 40 seconds with a disturbance about each 400 ms and returns the first time at which two
 /// targets held a key.
 fn play(seed: u64, config: lease::Config) -> Option<time::Duration> {
@@ -465,6 +487,92 @@
     }
 }
 
+/// Load pattern: a few neighbouring keys, all in one stripe, get half of the requests. The stripe is
+/// split, and its keys are spread over the targets.
+#[test]
+fn a_busy_stripe_is_split_and_spread() {
+    let mut world = World::new(8, config());
+    run(&mut world, time::Duration::from_secs(4));
+    let map = world.state.ranges.values().next().unwrap();
+    let keys = map.keys(map.stripe_of(30_000));
+    let busy: Vec<u16> = keys.take(20).collect();
+    for _ in 0..10 {
+        let mut demand: Vec<(u16, u32)> = (0..200).map(|n| (n * 300, 1)).collect();
+        demand.extend(busy.iter().map(|key| (*key, 10)));
+        let report = balance::Report {
+            demand: vec![(item::Name("s".into()), demand)],
+            times: Vec::new(),
+        };
+        world.book.report(&report, world.now);
+        run(&mut world, BEAT);
+    }
+    run(&mut world, BEAT * 3);
+    let mut held = [0; 5];
+    for key in &busy {
+        for holder in world.holders(*key) {
+            held[holder] += 1;
+        }
+    }
+    assert_eq!(held.iter().sum::<i32>(), 20, "{held:?}");
+    assert!(held.iter().all(|keys| *keys <= 8), "{held:?}");
+}
+
+/// Load pattern: many targets with like work, whose measured demand is mostly chance. Stripes must
+/// not wander about for that.
+#[test]
+fn chance_moves_few_stripes() {
+    let mut world = World::new(9, config());
+    run(&mut world, time::Duration::from_secs(4));
+    let owner = |world: &World| -> Vec<Option<target::Number>> {
+        let map = world.state.ranges.values().next().unwrap();
+        map.iter().map(|(_, stripe)| stripe.owner).collect()
+    };
+    let mut before = owner(&world);
+    let mut moved = 0;
+    for _ in 0..40 {
+        let demand = (0..10).map(|_| (world.rng.random(), 1)).collect();
+        let report = balance::Report {
+            demand: vec![(item::Name("s".into()), demand)],
+            times: Vec::new(),
+        };
+        world.book.report(&report, world.now);
+        run(&mut world, BEAT);
+        let after = owner(&world);
+        moved += before.iter().zip(&after).filter(|(b, a)| b != a).count();
+        before = after;
+    }
+    assert!(moved < before.len() / 2, "{moved} of {} moved", before.len());
+}
+
+/// A host that follows by deltas has the same owners, whatever it missed, and also where a busy
+/// stripe was split meanwhile.
+#[test]
+fn followers_learn_of_splits() {
+    let mut world = World::new(10, config());
+    run(&mut world, time::Duration::from_secs(2));
+    let mut follower = State::default();
+    for round in 0..60u16 {
+        let demand = (0..30).map(|key| (round * 700 + key, 20)).collect();
+        let report = balance::Report {
+            demand: vec![(item::Name("s".into()), demand)],
+            times: Vec::new(),
+        };
+        world.book.report(&report, world.now);
+        run(&mut world, BEAT);
+        if round % 3 == 0 {
+            follower.follow(world.state.delta(follower.version));
+            let (map, theirs) = (&world.state.ranges[0], &follower.ranges[0]);
+            for key in 0..=u16::MAX {
+                let own = map.get(map.stripe_of(key)).unwrap();
+                let known = theirs.get(theirs.stripe_of(key)).unwrap();
+                assert_eq!((own.owner, own.token), (known.owner, known.token), "{key}");
+            }
+        }
+    }
+    let restored = State::restore(&world.state.save().unwrap()).unwrap();
+    assert!(restored == world.state);
+}
+
 /// Load pattern: of many targets some are lost, and the fast ones have no room for further rows. The
 /// rest takes what stays free, beyond its share.
 #[test]
