Log: a replica that has heard no leader since its start asks for votes early

Cause: when all processes are killed or lose power, the log has no leader for 0.35 to 0.7 s after the start, the time that tells a lost leader from a slow one. Nobody was heard yet, so there is none to wait for; a pre-vote disturbs no leader that others hear.

Ruled out: a shorter time for all elections, which loaded leaders would lose their terms by.

--- a/crates/yucca-log/src/node.rs
+++ b/crates/yucca-log/src/node.rs
@@ -64,7 +64,8 @@
     vote: Option<membership::Replica>,
     state: State,
     leader: Option<membership::Replica>,
-    heard_leader: Duration,
+    /// When a leader was last heard since the start.
+    heard_leader: Option<Duration>,
     log: log::Log,
     commit: id::Version,
     applied: id::Version,
@@ -101,7 +102,7 @@
             vote: image.vote.candidate,
             state: State::Follower,
             leader: None,
-            heard_leader: Duration::ZERO,
+            heard_leader: None,
             commit,
             applied: commit,
             writer: writer::Writer::new(log.last().version),
--- a/crates/yucca-log/src/node/election.rs
+++ b/crates/yucca-log/src/node/election.rs
@@ -10,9 +10,17 @@
 use crate::node::{Node, Output, State, writer};
 use crate::storage;
 
+/// A replica that has heard no leader since its start asks for votes after this part of the election
+/// time, and so often again. A pre-vote disturbs no leader that others hear, and where all replicas
+/// start at once nobody serves until one leads.
+const START_DIVISOR: u32 = 5;
+
 impl Node {
     pub(super) fn reset_election(&mut self) {
-        let span = self.config.election;
+        let span = match self.heard_leader {
+            Some(_) => self.config.election,
+            None => self.config.election / START_DIVISOR,
+        };
         self.election_at = self.now + span + self.jitter(span);
     }
 
@@ -98,7 +106,7 @@
 
     fn set_leader(&mut self, leader: Option<membership::Replica>) {
         if leader.is_some() {
-            self.heard_leader = self.now;
+            self.heard_leader = Some(self.now);
             self.reset_election();
         }
         if self.leader != leader {
@@ -116,8 +124,9 @@
 
     /// Tells whether a leader was heard so lately that no other is needed.
     pub(super) fn hears_leader(&self) -> bool {
-        let lately = self.now < self.heard_leader + self.config.election;
-        self.is_leader() || (self.leader.is_some() && lately)
+        let lately = |heard| self.now < heard + self.config.election;
+        let heard = self.heard_leader.is_some_and(lately);
+        self.is_leader() || (self.leader.is_some() && heard)
     }
 
     fn would_vote(&self, term: entry::Term, ballot: &message::Ballot) -> bool {
--- a/crates/yucca-log/tests/elections.rs
+++ b/crates/yucca-log/tests/elections.rs
@@ -52,3 +52,43 @@
     assert!(took < millis(50), "took {took:?}");
     net.settle();
 }
+
+/// Load pattern: all processes start at once, and callers are refused until one leads.
+#[test]
+fn a_group_that_starts_whole_soon_has_a_leader() {
+    let election = Net::new(&["a", "b", "c"], 0).slots[0].config.election;
+    for seed in 0..40 {
+        let mut net = Net::new(&["a", "b", "c"], seed);
+        net.await_leader();
+        net.commit("kept");
+        for name in net.names() {
+            net.crash(&name);
+        }
+        net.run(election);
+        for name in net.names() {
+            net.restart(&name);
+        }
+        let took = net.run_until(election * 10, |net| net.leader().is_some());
+        assert!(took < election, "seed {seed}: {took:?}");
+    }
+}
+
+/// A replica that restarts asks for votes early, and the leader that the others hear stays.
+#[test]
+fn a_restart_does_not_disturb_the_leader() {
+    for seed in 0..40 {
+        let mut net = Net::new(&["a", "b", "c"], seed);
+        let leader = net.await_leader();
+        let term = net.node(&leader).term();
+        net.settle();
+        let follower = net.followers()[0].clone();
+        for _ in 0..4 {
+            net.crash(&follower);
+            net.run(millis(30));
+            net.restart(&follower);
+            net.run(millis(300));
+        }
+        assert_eq!(net.leader(), Some(leader.clone()), "seed {seed}");
+        assert_eq!(net.node(&leader).term(), term, "seed {seed}");
+    }
+}
