Entry: whole states sent small and once, speeds shared in the domain, near queues first

A whole state of about 200 KB takes a link of 2 Mbit/s 0.8 s, and it was asked for again after 250 ms, so that it was sent several times. All callers that came were sent away for 200 ms and refused again. Besides, the leader had each target's word written to the log once more.

Changes: messages over 4 KiB are compressed; owners travel with their stripes grouped; a pull is repeated after 2 s; who comes to a host without configuration is told to return after a third of its time; the leader looks itself whether an announcement is news. Also: hosts of a domain tell each other the service times they measured (one of 74 hosts gets two answers of a target in a minute); a near queue that is in time goes before a far target; for an owner of keys that was full for a second one request waits at each host, others are refused at once.

--- a/crates/yucca-fleet/src/control/announce.rs
+++ b/crates/yucca-fleet/src/control/announce.rs
@@ -72,7 +72,10 @@
         if !self.replica.standing().leads {
             return Err(message::Refusal::NotLeader);
         }
-        if let Some(target) = ask.news {
+        self.confirm_together().await?;
+        // The host that asks may have lagged behind.
+        let is_news = |target: &target::Target| lock(&self.machine).state.targets.is_news(target);
+        if let Some(target) = ask.news.filter(is_news) {
             log::info!(
                 "target={} service={} address={} phase={} announced",
                 target.life,
@@ -85,7 +88,6 @@
         let Some(beat) = ask.beat else {
             return Ok(None);
         };
-        self.confirm_together().await?;
         let Some(kept) = self.hear_beat(&ask.life, &beat) else {
             return Ok(None);
         };
--- a/crates/yucca-fleet/src/entry/desk.rs
+++ b/crates/yucca-fleet/src/entry/desk.rs
@@ -97,6 +97,22 @@
         all.collect()
     }
 
+    /// Returns what was measured of targets since the last call, for the other hosts of this domain.
+    pub fn take_news(&self) -> Vec<(site::Number, target::Measure)> {
+        let mut counters = lock(&self.counters);
+        let counters = counters.values_mut();
+        counters
+            .flat_map(|counter| counter.service.take_news())
+            .collect()
+    }
+
+    /// Takes in what another host of this domain measured of a target.
+    pub fn note_measure(&self, number: site::Number, measure: target::Measure) {
+        for counter in lock(&self.counters).values_mut() {
+            counter.service.note_measure(number, measure);
+        }
+    }
+
     /// Returns what was measured since the last call.
     pub fn report(&self) -> balance::Report {
         let mut report = balance::Report::default();
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -14,8 +14,9 @@
 use crate::mesh::{link, message};
 use crate::mutex::lock;
 
-/// After so long without an answer the state is asked for again.
-const PULL_PATIENCE: time::Duration = time::Duration::from_millis(250);
+/// After so long without an answer the state is asked for again. The whole state takes a thin link
+/// most of a second; asked for again meanwhile, it would be sent twice.
+const PULL_PATIENCE: time::Duration = time::Duration::from_millis(2_000);
 
 /// How often what was measured is reported.
 const REPORT_INTERVAL: time::Duration = time::Duration::from_millis(400);
--- a/crates/yucca-fleet/src/entry/gossip.rs
+++ b/crates/yucca-fleet/src/entry/gossip.rs
@@ -6,7 +6,8 @@
 
 use indexmap::{IndexMap, IndexSet};
 use tokio::net::UdpSocket;
-use yucca_own::site::target;
+use yucca_lane::shared::target;
+use yucca_own::site::target as site;
 
 use crate::entry::Core;
 use crate::mesh::message;
@@ -49,7 +50,7 @@
 struct Heard {
     sequence: u64,
     at: time::Duration,
-    loads: Vec<(target::Number, u32)>,
+    loads: Vec<(site::Number, u32)>,
 }
 
 /// Tells and hears loads until the process ends.
@@ -101,7 +102,7 @@
 #[derive(Default)]
 struct Teller {
     sequence: u64,
-    told: Vec<(target::Number, u32)>,
+    told: Vec<(site::Number, u32)>,
     told_at: time::Duration,
 }
 
@@ -120,10 +121,17 @@
         }
         self.sequence += 1;
         self.told_at = now;
+        let news = core.desk.take_news().into_iter();
         let load = message::Load {
             sequence: self.sequence,
             ip: core.settings.ip,
             loads,
+            times: news
+                .map(|(number, measure)| {
+                    let micros = u64::try_from(measure.time.as_micros()).unwrap_or(u64::MAX);
+                    (number, measure.count, micros)
+                })
+                .collect(),
         };
         match rmp_serde::to_vec(&load) {
             Ok(datagram) => {
@@ -145,6 +153,13 @@
         .get(&load.ip)
         .is_some_and(|known| known.sequence >= load.sequence && now < known.at + EXPIRY);
     if !late {
+        for (number, count, micros) in load.times {
+            let measure = target::Measure {
+                count,
+                time: time::Duration::from_micros(micros),
+            };
+            core.desk.note_measure(number, measure);
+        }
         heard.insert(
             load.ip,
             Heard {
@@ -160,7 +175,7 @@
 fn share(core: &Core, heard: &mut IndexMap<net::IpAddr, Heard>) {
     let now = core.clock.now();
     heard.retain(|_, known| now < known.at + EXPIRY);
-    let mut others: IndexMap<target::Number, u32> = IndexMap::new();
+    let mut others: IndexMap<site::Number, u32> = IndexMap::new();
     for known in heard.values() {
         for (number, load) in &known.loads {
             *others.entry(*number).or_default() += load;
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -38,8 +38,9 @@
 /// The most bytes of a body before limits are configured.
 const DEFAULT_BODY_BYTES: usize = 1 << 20;
 
-/// When a caller should return to a host that knows no configuration yet.
-const UNCONFIGURED_RETURN: time::Duration = time::Duration::from_millis(200);
+/// A caller should return to a host that knows no configuration yet after this part of its time. A
+/// deployment that starts whole takes a second or two until it serves.
+const UNCONFIGURED_DIVISOR: u32 = 3;
 
 /// A caller whose request found no budget for a further try should return after this part of its time.
 const RETURN_DIVISOR: u32 = 4;
@@ -175,7 +176,8 @@
         let refusal = if view.is_configured() && *self.synced.borrow() {
             caller::Refusal::NoRoute
         } else {
-            caller::Refusal::NotRun(UNCONFIGURED_RETURN)
+            let patience = head.patience.unwrap_or(DEFAULT_PATIENCE);
+            caller::Refusal::NotRun(patience / UNCONFIGURED_DIVISOR)
         };
         log::info!(
             "request={:?} host={} path={} version={} no route",
--- a/crates/yucca-fleet/src/mesh/link.rs
+++ b/crates/yucca-fleet/src/mesh/link.rs
@@ -16,6 +16,15 @@
 /// The most bytes of one message.
 const MAX_FRAME_BYTES: usize = 64 << 20;
 
+/// A message of fewer bytes is sent as it is.
+const COMPRESSED_BYTES: usize = 4 << 10;
+
+/// Begins a frame that holds a message as it is.
+const PLAIN: u8 = 0;
+
+/// Begins a frame that holds a compressed message.
+const COMPRESSED: u8 = 1;
+
 /// The most messages that wait on one connection; further ones are lost.
 const QUEUE_MESSAGES: usize = 1024;
 
@@ -266,13 +275,44 @@
 where
     S: futures_util::Sink<Bytes, Error = std::io::Error> + Unpin,
 {
-    let frame = rmp_serde::to_vec(message).map_err(|error| error.to_string())?;
-    let sent = sink.send(frame.into()).await;
+    let frame = encode(message).map_err(|error| error.to_string())?;
+    let sent = sink.send(frame).await;
     sent.map_err(|error| error.to_string())
 }
 
 fn read(frame: Option<Result<BytesMut, std::io::Error>>) -> Result<message::Message, String> {
     let frame = frame.ok_or("the other side closed it")?;
     let frame = frame.map_err(|error| error.to_string())?;
-    rmp_serde::from_slice(&frame).map_err(|error| format!("unreadable message: {error}"))
+    decode(&frame).map_err(|error| format!("unreadable message: {error}"))
+}
+
+/// Encodes a message, behind a byte that tells whether it is compressed. A whole state has the same
+/// names again and again, and links may be thin.
+fn encode(message: &message::Message) -> Result<Bytes, rmp_serde::encode::Error> {
+    let mut frame = vec![PLAIN];
+    rmp_serde::encode::write(&mut frame, message)?;
+    if frame.len() < COMPRESSED_BYTES {
+        return Ok(frame.into());
+    }
+    let mut compressed = vec![COMPRESSED];
+    compressed.extend(lz4_flex::compress_prepend_size(&frame[1..]));
+    Ok(compressed.into())
+}
+
+fn decode(frame: &[u8]) -> Result<message::Message, String> {
+    let (kind, body) = frame.split_first().ok_or("it is empty")?;
+    let decoded = match *kind {
+        PLAIN => rmp_serde::from_slice(body),
+        COMPRESSED => {
+            // The size that the frame claims is what would be allocated.
+            let (size, _) = lz4_flex::block::uncompressed_size(body).map_err(|e| e.to_string())?;
+            if size > MAX_FRAME_BYTES {
+                return Err(format!("it claims {size} bytes"));
+            }
+            let body = lz4_flex::decompress_size_prepended(body).map_err(|e| e.to_string())?;
+            rmp_serde::from_slice(&body)
+        }
+        other => return Err(format!("its form {other} is unknown")),
+    };
+    decoded.map_err(|error| error.to_string())
 }
--- a/crates/yucca-fleet/src/mesh/message.rs
+++ b/crates/yucca-fleet/src/mesh/message.rs
@@ -127,4 +127,7 @@
     pub ip: net::IpAddr,
     /// Targets with the requests there; those that are not named have none.
     pub loads: Vec<(target::Number, u32)>,
+    /// Targets with the answers since the last datagram: their number, and their whole service time
+    /// in microseconds.
+    pub times: Vec<(target::Number, u32, u64)>,
 }
--- a/crates/yucca-lane/src/estimate.rs
+++ b/crates/yucca-lane/src/estimate.rs
@@ -32,6 +32,22 @@
         self.deviation += (error.abs() - self.deviation) * warming.max(DEVIATION_WEIGHT);
     }
 
+    /// Takes in several service times by their mean, as another host measured them.
+    pub fn batch(&mut self, count: u32, mean: Duration) {
+        let seconds = mean.as_secs_f64();
+        self.samples = self.samples.saturating_add(count);
+        let warming = f64::from(count) / f64::from(self.samples.max(1));
+        let settled = 1.0 - (1.0 - MEAN_WEIGHT).powf(f64::from(count));
+        self.mean += (seconds - self.mean) * warming.max(settled);
+    }
+
+    /// Returns the mean as far as it is known: with few samples it is drawn towards `typical`.
+    pub fn mean_or(&self, typical: Duration) -> Duration {
+        let known = f64::from(self.samples.min(ENOUGH_SAMPLES)) / f64::from(ENOUGH_SAMPLES);
+        let seconds = self.mean * known + typical.as_secs_f64() * (1.0 - known);
+        Duration::from_secs_f64(seconds.max(0.0))
+    }
+
     /// Returns the mean service time, once there are enough samples.
     pub fn mean(&self) -> Option<Duration> {
         let enough = self.samples >= ENOUGH_SAMPLES;
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -7,6 +7,7 @@
 use yucca_own::site::{balance, delta, item, range, target as site};
 use yucca_wire::id;
 
+use crate::estimate;
 use crate::shared::target;
 
 /// How many requests a target may have beyond its slots. They hide the way to it and back.
@@ -109,6 +110,8 @@
     /// Stripes that their owner denied to hold.
     denied: IndexMap<u32, Denial>,
     waiting: IndexMap<u64, Request>,
+    /// The service times of all targets together.
+    times: estimate::Estimate,
     /// Requests by key since the last report.
     demand: IndexMap<u16, u32>,
 }
@@ -133,8 +136,10 @@
 
     /// Takes in owners of keys that have changed.
     pub fn follow(&mut self, version: id::Version, ranges: &delta::Ranges) {
-        let map = self.map.get_or_insert_with(|| range::Map::new(ranges.count));
-        map.follow(version, &ranges.stripes);
+        let map = self
+            .map
+            .get_or_insert_with(|| range::Map::new(ranges.count));
+        map.follow(version, &ranges.owners);
     }
 
     /// Takes in that the owner of some stripes is about to release them. Requests for them wait until
@@ -160,16 +165,36 @@
         far: f64,
         now: time::Duration,
     ) {
+        let far = if self.keyed { far } else { 0.0 };
         for (number, target) in &mut self.targets {
             let near = loads.get(number).copied().unwrap_or(0);
-            let average = target.note_near(near, now);
-            target.others = near;
-            if self.keyed {
-                target.others += (average * far).round() as u32;
+            target.note_others(near, far, now);
+        }
+    }
+
+    /// Takes in what another host of this domain measured of a target. Load pattern: one of a hundred
+    /// hosts gets two answers of a target in a minute, and would never learn which are slow.
+    pub fn note_measure(&mut self, number: site::Number, measure: target::Measure) {
+        if let Some(target) = self.targets.get_mut(&number) {
+            target.note_measure(measure);
+            if let Some(mean) = measure.mean() {
+                self.times.batch(measure.count, mean);
             }
         }
     }
 
+    /// Returns what was measured since the last call, for the other hosts of this domain.
+    pub fn take_news(&mut self) -> Vec<(site::Number, target::Measure)> {
+        let targets = self.targets.iter_mut();
+        let news = targets.map(|(number, target)| (*number, target.take_news()));
+        news.filter(|(_, measure)| measure.count > 0).collect()
+    }
+
+    /// Returns the service time of a target of which nothing is known.
+    fn typical(&self) -> time::Duration {
+        self.times.mean_or(target::PRESUMED_TIME)
+    }
+
     /// Returns the requests of this host at its targets.
     pub fn loads(&self) -> impl Iterator<Item = (site::Number, u32)> + '_ {
         let busy = self.targets.iter().filter(|(_, target)| target.own > 0);
@@ -206,10 +231,10 @@
             report.demand.push((name.clone(), demand));
         }
         for (number, target) in &mut self.targets {
-            let (count, time) = target.take_measured();
-            if count > 0 {
-                let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
-                report.times.push((*number, count, micros));
+            let measure = target.take_measured();
+            if measure.count > 0 {
+                let micros = u64::try_from(measure.time.as_micros()).unwrap_or(u64::MAX);
+                report.times.push((*number, measure.count, micros));
             }
         }
     }
@@ -233,12 +258,17 @@
         outcome: Outcome,
         now: time::Duration,
     ) -> Vec<Decision> {
+        let typical = self.typical();
         if let Some(target) = self.targets.get_mut(&number) {
             match outcome {
-                Outcome::Answered(took) => target.answered(took),
+                Outcome::Answered(took) => {
+                    if target.answered(took) {
+                        self.times.sample(took);
+                    }
+                }
                 Outcome::Failed => target.failed(now),
                 // A target that lost its lease denies all its keys.
-                Outcome::Shed | Outcome::Denied { .. } => target.refused(now),
+                Outcome::Shed | Outcome::Denied { .. } => target.refused(typical, now),
                 Outcome::Dropped => {}
             }
             target.own = target.own.saturating_sub(1);
@@ -293,6 +323,8 @@
             .collect();
         order.sort_unstable();
         let mut decisions = Vec::new();
+        // Owners of keys for which a more urgent request waits.
+        let mut ahead: IndexSet<site::Number> = IndexSet::new();
         for (_, _, _, number) in order {
             let Some(request) = self.waiting.get(&number) else {
                 continue;
@@ -307,13 +339,15 @@
                     target,
                     token,
                 });
-            } else if self.give_up_at(request) <= now || self.is_hopeless(request) {
+            } else if self.give_up_at(request) <= now || self.is_hopeless(request, &ahead) {
                 let left = request.limit_at.saturating_sub(now);
                 self.waiting.shift_remove(&number);
                 decisions.push(Decision::Refuse {
                     number,
                     retry_after: left / RETURN_SHARE,
                 });
+            } else if let Some(owner) = self.owner_of(request) {
+                ahead.insert(owner.facts.number);
             }
         }
         decisions
@@ -325,8 +359,9 @@
     /// changes hands is served again within a heartbeat, so requests for it wait as long as they
     /// can.
     fn give_up_at(&self, request: &Request) -> time::Duration {
-        let targets = self.targets.values();
-        let time = targets.map(target::Target::time).min().unwrap_or_default();
+        let typical = self.typical();
+        let times = self.targets.values().map(|target| target.time(typical));
+        let time = times.min().unwrap_or_default();
         let latest = request.limit_at.saturating_sub(time);
         if self.is_between_owners(request) {
             return latest;
@@ -337,17 +372,26 @@
         in_time.max(patience).min(latest)
     }
 
-    /// Tells whether it is known that a request can't be served before it is given up. Load pattern: a
-    /// domain is cut off, and half of the keys have owners elsewhere.
-    fn is_hopeless(&self, request: &Request) -> bool {
-        let (true, Some(key), Some(map)) = (self.keyed, request.key, &self.map) else {
+    /// Tells whether it is known that a request can't be served before it is given up.
+    ///
+    /// Load patterns: a domain is cut off, and half of the keys have owners elsewhere. Or one key gets
+    /// ten times what its owner can do: its slots are busy all the time, and each host has requests
+    /// that wait for them. One of them is enough to keep the slots busy; further ones wait in vain.
+    fn is_hopeless(&self, request: &Request, ahead: &IndexSet<site::Number>) -> bool {
+        let Some(owner) = self.owner_of(request) else {
             return false;
         };
-        let stripe = map.get(map.stripe_of(key));
-        let owner = stripe.and_then(|stripe| stripe.owner);
-        let owner = owner.and_then(|owner| self.targets.get(&owner));
-        let until = self.give_up_at(request);
-        owner.is_some_and(|owner| owner.is_out_of_reach(until))
+        let full = owner.is_busy() && ahead.contains(&owner.facts.number);
+        full || owner.is_out_of_reach(self.give_up_at(request))
+    }
+
+    /// Returns the target that owns a request's key.
+    fn owner_of(&self, request: &Request) -> Option<&target::Target> {
+        let (true, Some(key), Some(map)) = (self.keyed, request.key, &self.map) else {
+            return None;
+        };
+        let stripe = map.get(map.stripe_of(key))?;
+        self.targets.get(&stripe.owner?)
     }
 
     /// Tells whether a request waits for its key to have an owner.
@@ -397,9 +441,10 @@
         (room && target.is_usable(now)).then_some((owner, Some(stripe.token)))
     }
 
-    /// Near targets with a free slot go first, then far ones, then those where it would queue. Among
-    /// equals two are drawn and the one that answers sooner is taken, so that hosts which know the
-    /// same do not all choose the same target.
+    /// Near targets with a free slot go first, then those where it would queue and still be in time,
+    /// then far ones; at last those where it would be late. Among equals two are drawn and the one
+    /// that answers sooner is taken, so that hosts which know the same do not all choose the same
+    /// target.
     fn best(&self, request: &Request, now: time::Duration) -> Option<site::Number> {
         let has_room = |target: &&target::Target| {
             target.load() < target.facts.slots + DEPTH
@@ -410,14 +455,18 @@
         if usable.is_empty() {
             return self.least_suspect(targets(), now);
         }
+        let typical = self.typical();
         let rank = |target: &&target::Target| {
             let queued = target.load() >= target.facts.slots;
-            (queued, !target.facts.near)
+            let late = queued && now + target.expected(typical) > request.objective_at;
+            (late, !target.facts.near, queued)
         };
         let best = usable.iter().map(rank).min()?;
         let equal: Vec<&&target::Target> = usable.iter().filter(|t| rank(t) == best).collect();
         let drawn = [0, 1].map(|draw| equal[draw_index(request.number, draw, equal.len())]);
-        let chosen = drawn.into_iter().min_by_key(|target| target.expected());
+        let chosen = drawn
+            .into_iter()
+            .min_by_key(|target| target.expected(typical));
         chosen.map(|target| target.facts.number)
     }
 }
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -18,9 +18,12 @@
 /// The longest such pause.
 const LONGEST_REST: time::Duration = time::Duration::from_millis(300);
 
-/// The service time that is presumed where nothing is known yet.
+/// The service time that is presumed where nothing is known of a service yet.
 pub const PRESUMED_TIME: time::Duration = time::Duration::from_millis(150);
 
+/// An owner of keys whose average load is over this part of its slots is busy all the time.
+const BUSY_SHARE: f64 = 0.9;
+
 /// What is told of a target when it becomes known or changes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Facts {
@@ -50,8 +53,33 @@
     times: estimate::Estimate,
     /// The requests of this domain's hosts, averaged over the last second.
     near: estimate::Level,
-    /// Requests measured since the last report, and their whole time.
-    measured: (u32, time::Duration),
+    /// The average of all hosts' requests, as far as it is known.
+    average: f64,
+    /// Answers since the last report, for the balance of keys.
+    measured: Measure,
+    /// Answers since the last digest, for the other hosts of this domain.
+    news: Measure,
+}
+
+/// A number of answers and their whole time.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Measure {
+    /// How many there were.
+    pub count: u32,
+    /// The sum of their service times.
+    pub time: time::Duration,
+}
+
+impl Measure {
+    fn add(&mut self, took: time::Duration) {
+        self.count += 1;
+        self.time += took;
+    }
+
+    /// Returns the mean time; none without any answer.
+    pub fn mean(&self) -> Option<time::Duration> {
+        self.time.checked_div(self.count)
+    }
 }
 
 impl Target {
@@ -66,15 +94,24 @@
             refusals: 0,
             times: estimate::Estimate::default(),
             near: estimate::Level::default(),
-            measured: (0, time::Duration::ZERO),
+            average: 0.0,
+            measured: Measure::default(),
+            news: Measure::default(),
         }
     }
 
-    /// Takes in the requests of the other hosts of this domain, and returns the average of all of the
-    /// domain's requests.
-    pub fn note_near(&mut self, others: u32, now: time::Duration) -> f64 {
-        self.near.update(f64::from(others + self.own), now);
-        self.near.average()
+    /// Takes in the requests of the other hosts of this domain, where hosts elsewhere are presumed
+    /// to have `far` times as many as this domain has on average.
+    pub fn note_others(&mut self, near: u32, far: f64, now: time::Duration) {
+        self.near.update(f64::from(near + self.own), now);
+        let elsewhere = self.near.average() * far;
+        self.average = self.near.average() + elsewhere;
+        self.others = near + elsewhere.round() as u32;
+    }
+
+    /// Tells whether its slots have been in use all the time lately.
+    pub fn is_busy(&self) -> bool {
+        self.average >= f64::from(self.facts.slots) * BUSY_SHARE
     }
 
     /// Returns the requests that the target has, as far as is known.
@@ -97,46 +134,60 @@
         self.failures > 0 && self.paused_until > until
     }
 
-    /// Returns how long it takes for a request, once it has a slot.
-    pub fn time(&self) -> time::Duration {
-        self.times.mean().unwrap_or(PRESUMED_TIME)
+    /// Returns how long it takes for a request, once it has a slot; `typical` is that of its service.
+    pub fn time(&self, typical: time::Duration) -> time::Duration {
+        self.times.mean_or(typical)
     }
 
     /// Returns how long a further request would take.
-    pub fn expected(&self) -> time::Duration {
+    pub fn expected(&self, typical: time::Duration) -> time::Duration {
         let slots = self.facts.slots.max(1);
         let ahead = (self.load() + 1).saturating_sub(slots);
-        let time = self.time();
+        let time = self.time(typical);
         time + time * ahead / slots
     }
 
-    /// Takes in that a request was answered.
-    pub fn answered(&mut self, took: time::Duration) {
+    /// Takes in that a request was answered. Tells whether that says something of its speed: a wait at
+    /// the target is no part of it.
+    pub fn answered(&mut self, took: time::Duration) -> bool {
         self.failures = 0;
         self.refusals = 0;
         self.paused_until = time::Duration::ZERO;
-        // A wait at the target is no part of its speed.
-        if self.load() <= self.facts.slots {
+        let alone = self.load() <= self.facts.slots;
+        if alone {
             self.times.sample(took);
-            self.measured.0 += 1;
-            self.measured.1 += took;
+            self.measured.add(took);
+            self.news.add(took);
+        }
+        alone
+    }
+
+    /// Takes in what another host of this domain measured.
+    pub fn note_measure(&mut self, measure: Measure) {
+        if let Some(mean) = measure.mean() {
+            self.times.batch(measure.count, mean);
         }
     }
 
-    /// Returns how many requests were measured since the last call, and their whole time.
-    pub fn take_measured(&mut self) -> (u32, time::Duration) {
+    /// Returns what was measured since the last call, for the balance of keys.
+    pub fn take_measured(&mut self) -> Measure {
         std::mem::take(&mut self.measured)
     }
 
+    /// Returns what was measured since the last call, for the other hosts of this domain.
+    pub fn take_news(&mut self) -> Measure {
+        std::mem::take(&mut self.news)
+    }
+
     /// Takes in that it had no room, and pauses it until a slot should be free; for longer each time.
     /// Load pattern: a faulty target refuses a part of its requests with slots free. Paused like a
     /// full one it would stand idle, so it rests for the shortest time only.
-    pub fn refused(&mut self, now: time::Duration) {
+    pub fn refused(&mut self, typical: time::Duration, now: time::Duration) {
         if self.load() <= self.facts.slots {
             self.paused_until = self.paused_until.max(now + SHORTEST_REST);
             return;
         }
-        let rest = self.time() / self.facts.slots.max(1);
+        let rest = self.time(typical) / self.facts.slots.max(1);
         let rest = rest.max(SHORTEST_REST) * 2u32.saturating_pow(self.refusals.min(3));
         self.refusals = self.refusals.saturating_add(1);
         self.paused_until = self.paused_until.max(now + rest.min(LONGEST_REST));
--- a/crates/yucca-own/src/site/delta.rs
+++ b/crates/yucca-own/src/site/delta.rs
@@ -1,5 +1,6 @@
 //! What changed since a version, for hosts that follow the state without taking part in the log.
 
+use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use yucca_wire::id;
 
@@ -12,8 +13,9 @@
     pub service: item::Name,
     /// Into how many stripes its keys are cut.
     pub count: u32,
-    /// Stripes with their owner and token.
-    pub stripes: Vec<(u32, target::Number, range::Token)>,
+    /// Owners with a token and the stripes that they have under it; short, as neighbours of one owner
+    /// mostly came together.
+    pub owners: Vec<(target::Number, range::Token, Vec<u32>)>,
 }
 
 /// All that changed between two versions.
@@ -78,7 +80,7 @@
         for ranges in delta.ranges {
             let map = self.ranges.entry(ranges.service);
             let map = map.or_insert_with(|| range::Map::new(ranges.count));
-            map.follow(changed, &ranges.stripes);
+            map.follow(changed, &ranges.owners);
         }
         self.version = delta.to;
         true
@@ -86,13 +88,21 @@
 }
 
 fn ranges_since(service: &item::Name, map: &range::Map, from: id::Version) -> Option<Ranges> {
-    let changed = map.changed_since(from).into_iter();
-    let stripes: Vec<_> = changed
-        .filter_map(|(number, stripe)| Some((number, stripe.owner?, stripe.token)))
-        .collect();
-    (!stripes.is_empty()).then(|| Ranges {
+    let mut owners: IndexMap<(target::Number, range::Token), Vec<u32>> = IndexMap::new();
+    for (number, stripe) in map.changed_since(from) {
+        if let Some(owner) = stripe.owner {
+            owners
+                .entry((owner, stripe.token))
+                .or_default()
+                .push(number);
+        }
+    }
+    let owners = owners.into_iter();
+    (owners.len() > 0).then(|| Ranges {
         service: service.clone(),
         count: map.count(),
-        stripes,
+        owners: owners
+            .map(|((owner, token), stripes)| (owner, token, stripes))
+            .collect(),
     })
 }
--- a/crates/yucca-own/src/site/lease.rs
+++ b/crates/yucca-own/src/site/lease.rs
@@ -280,7 +280,9 @@
             } else if let Some(holder) = self.holders.get(&owner) {
                 // What the target itself has given back is given anew, under another token.
                 let released = holder.released.iter().copied();
-                free.extend(released.filter(|n| map.get(*n).is_some_and(|s| s.owner == Some(owner))));
+                free.extend(
+                    released.filter(|n| map.get(*n).is_some_and(|s| s.owner == Some(owner))),
+                );
             }
         }
         free.retain(|number| changing.is_none_or(|changing| !changing.contains_key(number)));
--- a/crates/yucca-own/src/site/range.rs
+++ b/crates/yucca-own/src/site/range.rs
@@ -300,7 +300,13 @@
                 continue;
             };
             if !self.is_split(*number) && !self.is_single(*number) {
-                self.split_one(*number, Stripe { changed: version, ..stripe });
+                self.split_one(
+                    *number,
+                    Stripe {
+                        changed: version,
+                        ..stripe
+                    },
+                );
             }
         }
     }
@@ -340,14 +346,16 @@
     }
 
     /// Takes in the owners and tokens of stripes, as they are kept elsewhere.
-    pub fn follow(&mut self, changed: id::Version, stripes: &[(u32, target::Number, Token)]) {
-        for (number, owner, token) in stripes {
+    pub fn follow(&mut self, changed: id::Version, owners: &[(target::Number, Token, Vec<u32>)]) {
+        for (owner, token, stripes) in owners {
             let stripe = Stripe {
                 owner: Some(*owner),
                 token: *token,
                 changed,
             };
-            self.adopt(*number, stripe);
+            for number in stripes {
+                self.adopt(*number, stripe);
+            }
         }
     }
 
