Entry: who was shed with slots free returns at once; demand is averaged over 4 s

The target had slots free, so the caller's own next try is as good as ours. And demand averaged over 1.5 s is mostly chance where a target gets five requests a second.

--- a/crates/yucca-fleet/src/entry/desk.rs
+++ b/crates/yucca-fleet/src/entry/desk.rs
@@ -140,6 +140,18 @@
         granted
     }
 
+    /// Returns when a caller should return whose request a target did not run.
+    pub fn retry_after(
+        &self,
+        name: &item::Name,
+        target: site::Number,
+        left: time::Duration,
+    ) -> time::Duration {
+        let counters = lock(&self.counters);
+        let counter = counters.get(name);
+        counter.map_or(left, |counter| counter.service.retry_after(target, left))
+    }
+
     /// Asks what is to become of a request.
     pub fn ask(
         self: &sync::Arc<Self>,
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -42,9 +42,6 @@
 /// deployment that starts whole takes a second or two until it serves.
 const UNCONFIGURED_DIVISOR: u32 = 3;
 
-/// A caller whose request found no budget for a further try should return after this part of its time.
-const RETURN_DIVISOR: u32 = 4;
-
 /// Headers that concern one connection only.
 const HOP_HEADERS: [header::HeaderName; 6] = [
     header::CONNECTION,
@@ -219,7 +216,7 @@
                 }
                 Attempt::NotRun => {
                     if trail.sent > 0 && !self.may_repeat(job) {
-                        return self.refuse(job, self.not_run(job, last));
+                        return self.refuse(job, self.not_run(job, target, last));
                     }
                 }
                 Attempt::Unknown => {
@@ -260,11 +257,12 @@
     }
 
     /// Returns the refusal of a request that has not run, unless an earlier attempt may have.
-    fn not_run(&self, job: &Job, last: caller::Refusal) -> caller::Refusal {
+    fn not_run(&self, job: &Job, target: site::Number, last: caller::Refusal) -> caller::Refusal {
         match last {
             caller::Refusal::NotRun(_) => {
                 let left = job.limit_at.saturating_sub(self.clock.now());
-                caller::Refusal::NotRun(left / RETURN_DIVISOR)
+                let after = self.desk.retry_after(&job.service, target, left);
+                caller::Refusal::NotRun(after)
             }
             other => other,
         }
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -28,6 +28,13 @@
 /// The part of the time left after which a refused caller should return.
 const RETURN_SHARE: u32 = 3;
 
+/// The part of the time left after which a caller should return to a target that was full.
+const FULL_RETURN_SHARE: u32 = 4;
+
+/// When a caller should return whose request was turned away by a target with slots free: a way there
+/// and back, so that it can still be in time.
+const FREE_RETURN: time::Duration = time::Duration::from_millis(25);
+
 /// What can't be in time when it comes waits for this part of the time that it has.
 const WAIT_DIVISOR: u32 = 4;
 
@@ -244,6 +251,17 @@
         self.waiting.shift_remove(&number);
     }
 
+    /// Returns when a caller should return whose request the target did not run, while there is no
+    /// budget to send it again from here. Load pattern: faulty targets refuse half of what they get
+    /// with slots free. The caller's own next try is as good as ours, and only soon it is in time.
+    pub fn retry_after(&self, number: site::Number, left: time::Duration) -> time::Duration {
+        let target = self.targets.get(&number);
+        if target.is_some_and(target::Target::has_shed_with_room) {
+            return FREE_RETURN.min(left / RETURN_SHARE);
+        }
+        left / FULL_RETURN_SHARE
+    }
+
     /// Takes in that a request was not sent after all.
     pub fn take_back(&mut self, number: site::Number) {
         if let Some(target) = self.targets.get_mut(&number) {
@@ -267,8 +285,8 @@
                     }
                 }
                 Outcome::Failed => target.failed(now),
-                // A target that lost its lease denies all its keys.
-                Outcome::Shed | Outcome::Denied { .. } => target.refused(typical, now),
+                Outcome::Shed => target.refused(typical, now),
+                Outcome::Denied { .. } => target.denied(typical, now),
                 Outcome::Dropped => {}
             }
             target.own = target.own.saturating_sub(1);
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -50,6 +50,8 @@
     pub paused_until: time::Duration,
     failures: u32,
     refusals: u32,
+    /// Whether its last refusal came while slots were free, as far as is known.
+    shed_with_room: bool,
     times: estimate::Estimate,
     /// The requests of this domain's hosts, averaged over the last second.
     near: estimate::Level,
@@ -92,6 +94,7 @@
             paused_until: time::Duration::ZERO,
             failures: 0,
             refusals: 0,
+            shed_with_room: false,
             times: estimate::Estimate::default(),
             near: estimate::Level::default(),
             average: 0.0,
@@ -183,7 +186,8 @@
     /// Load pattern: a faulty target refuses a part of its requests with slots free. Paused like a
     /// full one it would stand idle, so it rests for the shortest time only.
     pub fn refused(&mut self, typical: time::Duration, now: time::Duration) {
-        if self.load() <= self.facts.slots {
+        self.shed_with_room = self.load() <= self.facts.slots;
+        if self.shed_with_room {
             self.paused_until = self.paused_until.max(now + SHORTEST_REST);
             return;
         }
@@ -193,6 +197,18 @@
         self.paused_until = self.paused_until.max(now + rest.min(LONGEST_REST));
     }
 
+    /// Takes in that it said that it does not hold a key. A target that lost its lease says so of all
+    /// its keys, so it rests like one that is full.
+    pub fn denied(&mut self, typical: time::Duration, now: time::Duration) {
+        self.refused(typical, now);
+        self.shed_with_room = false;
+    }
+
+    /// Tells whether it last refused a request though it had slots free.
+    pub fn has_shed_with_room(&self) -> bool {
+        self.shed_with_room
+    }
+
     /// Takes in that it could not be reached, or fell silent, and pauses it for longer each time.
     pub fn failed(&mut self, now: time::Duration) {
         let pause = FIRST_PAUSE * 2u32.saturating_pow(self.failures.min(8));
--- a/crates/yucca-lane/tests/shared_targets.rs
+++ b/crates/yucca-lane/tests/shared_targets.rs
@@ -216,6 +216,21 @@
     }
 }
 
+/// Load pattern: a faulty target refuses half of its requests while its slots are free, and the retry
+/// budget is spent. Who returns at once can still be in time; to a full target that helps nobody.
+#[test]
+fn who_was_shed_with_slots_free_returns_at_once() {
+    let mut service = service::Service::default();
+    service.set_targets(&[facts(0, true)]);
+    service.arrive(request(0), ms(0));
+    service.finish(site::Number(0), service::Outcome::Shed, ms(5));
+    assert_eq!(service.retry_after(site::Number(0), ms(900)), ms(25));
+    service.set_others(&IndexMap::from([(site::Number(0), 2)]), 0.0, ms(30));
+    service.arrive(request(1), ms(31));
+    service.finish(site::Number(0), service::Outcome::Shed, ms(35));
+    assert_eq!(service.retry_after(site::Number(0), ms(900)), ms(225));
+}
+
 fn keyed(owner: u32) -> (service::Service, range::Map) {
     let mut map = range::Map::new(16);
     map.assign(
--- a/crates/yucca-own/src/site/balance.rs
+++ b/crates/yucca-own/src/site/balance.rs
@@ -12,8 +12,9 @@
 
 use crate::site::{item, range, target};
 
-/// The time over which demand is averaged; busy keys change within a few seconds.
-const DEMAND_SPAN: time::Duration = time::Duration::from_millis(1_500);
+/// The time over which demand is averaged. Over less, most of what is measured is chance: a target
+/// of a large service gets five requests a second.
+const DEMAND_SPAN: time::Duration = time::Duration::from_millis(4_000);
 
 /// How much a new sample weighs in a target's mean time, for each request of it.
 const SAMPLE_WEIGHT: f64 = 0.04;
