--- a/crates/yucca-own/src/site/lease/plan.rs
+++ b/crates/yucca-own/src/site/lease/plan.rs
@@ -11,7 +11,7 @@
 
 use crate::site::{balance, range, target};
 
-/// A plan is made anew after this time; demand is averaged over a tenfold of it.
+/// A plan is made anew after this time, a small part of the time over which demand is averaged.
 const MAX_AGE: time::Duration = time::Duration::from_millis(250);
 
 /// A target gives stripes away when its work exceeds its share by this factor.
