--- a/crates/yucca-fleet/src/control/follower.rs
+++ b/crates/yucca-fleet/src/control/follower.rs
@@ -124,9 +124,7 @@
             message::Message::Reply { ticket, reply } => self.note_reply(ticket, reply),
             message::Message::Pull { have } => self.answer_pull(id, have),
             message::Message::Report(report) => self.note_report(&report),
-            message::Message::Moving { service, stripes } => {
-                self.relay_moving(&service, &stripes);
-            }
+            moving @ message::Message::Moving { .. } => self.relay_moving(&moving),
             message::Message::Hello(_)
             | message::Message::Ping
             | message::Message::Notice(_)
@@ -219,11 +217,7 @@
     }
 
     /// Passes on, to the entry hosts of this domain, what the leader told of stripes that move.
-    fn relay_moving(&self, service: &item::Name, stripes: &[(u32, range::Token)]) {
-        let message = message::Message::Moving {
-            service: service.clone(),
-            stripes: stripes.to_vec(),
-        };
+    fn relay_moving(&self, message: &message::Message) {
         for follower in lock(&self.followers).values() {
             let entry = follower.peer.role == message::Role::Entry;
             if entry && follower.peer.domain == self.settings.domain {
--- a/crates/yucca-fleet/src/entry/desk.rs
+++ b/crates/yucca-fleet/src/entry/desk.rs
@@ -98,11 +98,11 @@
     }
 
     /// Returns what was measured of targets since the last call, for the other hosts of this domain.
-    pub fn take_news(&self) -> Vec<(site::Number, target::Measure)> {
+    pub fn take_unshared(&self) -> Vec<(site::Number, target::Measure)> {
         let mut counters = lock(&self.counters);
         let counters = counters.values_mut();
         counters
-            .flat_map(|counter| counter.service.take_news())
+            .flat_map(|counter| counter.service.take_unshared())
             .collect()
     }
 
--- a/crates/yucca-fleet/src/entry/gossip.rs
+++ b/crates/yucca-fleet/src/entry/gossip.rs
@@ -121,12 +121,12 @@
         }
         self.sequence += 1;
         self.told_at = now;
-        let news = core.desk.take_news().into_iter();
+        let measures = core.desk.take_unshared().into_iter();
         let load = message::Load {
             sequence: self.sequence,
             ip: core.settings.ip,
             loads,
-            times: news
+            times: measures
                 .map(|(number, measure)| {
                     let micros = u64::try_from(measure.time.as_micros()).unwrap_or(u64::MAX);
                     (number, measure.count, micros)
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -191,10 +191,10 @@
     }
 
     /// Returns what was measured since the last call, for the other hosts of this domain.
-    pub fn take_news(&mut self) -> Vec<(site::Number, target::Measure)> {
+    pub fn take_unshared(&mut self) -> Vec<(site::Number, target::Measure)> {
         let targets = self.targets.iter_mut();
-        let news = targets.map(|(number, target)| (*number, target.take_news()));
-        news.filter(|(_, measure)| measure.count > 0).collect()
+        let measures = targets.map(|(number, target)| (*number, target.take_unshared()));
+        measures.filter(|(_, measure)| measure.count > 0).collect()
     }
 
     /// Returns the service time of a target of which nothing is known.
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -60,7 +60,7 @@
     /// Answers since the last report, for the balance of keys.
     measured: Measure,
     /// Answers since the last digest, for the other hosts of this domain.
-    news: Measure,
+    unshared: Measure,
 }
 
 /// A number of answers and their whole time.
@@ -99,7 +99,7 @@
             near: estimate::Level::default(),
             average: 0.0,
             measured: Measure::default(),
-            news: Measure::default(),
+            unshared: Measure::default(),
         }
     }
 
@@ -160,7 +160,7 @@
         if alone {
             self.times.sample(took);
             self.measured.add(took);
-            self.news.add(took);
+            self.unshared.add(took);
         }
         alone
     }
@@ -178,8 +178,8 @@
     }
 
     /// Returns what was measured since the last call, for the other hosts of this domain.
-    pub fn take_news(&mut self) -> Measure {
-        std::mem::take(&mut self.news)
+    pub fn take_unshared(&mut self) -> Measure {
+        std::mem::take(&mut self.unshared)
     }
 
     /// Takes in that it had no room, and pauses it until a slot should be free; for longer each time.
--- a/crates/yucca-own/src/site/balance.rs
+++ b/crates/yucca-own/src/site/balance.rs
@@ -170,7 +170,7 @@
     }
 
     /// Returns the standard deviation of measured work: that of a count is its root.
-    pub fn chance(&self, measured: f64) -> f64 {
+    pub fn deviation(&self, measured: f64) -> f64 {
         measured / self.requests(measured).max(1.0).sqrt()
     }
 
--- a/crates/yucca-own/src/site/lease.rs
+++ b/crates/yucca-own/src/site/lease.rs
@@ -239,12 +239,8 @@
         let free = self.free(state, map, kept, now);
         let any = !free.is_empty();
         let most = free.len().div_ceil(targets.max(1));
-        let room = if !has_few(targets) {
-            let owned: Vec<u32> = self.kept_stripes(service, map, kept.number).collect();
-            MAX_ROWS.saturating_sub(rows(map, &owned)) as usize
-        } else {
-            free.len()
-        };
+        let owned: Vec<u32> = self.kept_stripes(service, map, kept.number).collect();
+        let room = free_rows(map, &owned, targets) as usize;
         let spare = any && self.is_unwanted(service, now);
         let mut taken = Vec::new();
         let mut gained = 0.0;
@@ -319,9 +315,9 @@
             let measured = owned.iter().map(|stripe| scale.measured(*stripe)).sum();
             let entry = plan::Entry {
                 work: scale.sum(map, owned.iter().copied()),
-                chance: scale.chance(measured),
+                deviation: scale.deviation(measured),
                 quota: scale.total() * share,
-                room: has_few(eligible.len()) || rows(map, &owned) < MAX_ROWS,
+                room: free_rows(map, &owned, eligible.len()) > 0,
                 surplus: 0.0,
             };
             (number, entry)
@@ -497,9 +493,12 @@
     }
 }
 
-/// Tells whether there are so few targets that rows don't limit what each may have.
-fn has_few(targets: usize) -> bool {
-    targets <= FEW_TARGETS
+/// Returns how many further rows a target may have; with few targets rows don't limit it.
+fn free_rows(map: &range::Map, owned: &[u32], targets: usize) -> u32 {
+    if targets <= FEW_TARGETS {
+        return u32::MAX;
+    }
+    MAX_ROWS.saturating_sub(rows(map, owned))
 }
 
 /// Returns the first stripes in an order in which neighbours, or groups of neighbours, are far apart.
--- a/crates/yucca-own/src/site/lease/plan.rs
+++ b/crates/yucca-own/src/site/lease/plan.rs
@@ -34,8 +34,8 @@
 pub(super) struct Entry {
     /// Its work, in requests a second.
     pub work: f64,
-    /// How far its work may be off by chance, as it was measured by few requests.
-    pub chance: f64,
+    /// The standard deviation of its work, as that was measured by few requests.
+    pub deviation: f64,
     /// What it should have.
     pub quota: f64,
     /// Whether it can take further stripes.
@@ -175,7 +175,7 @@
         if excess <= 0.0 || wanted <= 0.0 {
             break;
         }
-        let rich = entry.work > entry.quota * SURPLUS_FACTOR + entry.chance;
+        let rich = entry.work > entry.quota * SURPLUS_FACTOR + entry.deviation;
         let own = if rich { excess * SHED_PART } else { 0.0 };
         entry.surplus = own.max(excess.min(urgent)).min(wanted);
         wanted -= entry.surplus;
