--- a/crates/yucca-lane/tests/shared_targets.rs
+++ b/crates/yucca-lane/tests/shared_targets.rs
@@ -1,4 +1,5 @@
 //! Decisions of a host that shares its targets with others.
+#![allow(clippy::unwrap_used)]
 
 use std::time;
 
@@ -102,6 +103,34 @@
     assert!(to_fast >= 12, "{to_fast} of 20 to the fast target");
 }
 
+/// Load pattern: a target turns five times slower under its usual load, so that from then on there is
+/// always a request that waits there. What its answers take must make that known.
+#[test]
+fn a_target_that_turns_slow_is_measured() {
+    let mut service = service::Service::default();
+    service.set_targets(&[facts(0, true)]);
+    let time = |service: &service::Service| {
+        let target = service.target(site::Number(0)).unwrap();
+        target.time(target::PRESUMED_TIME)
+    };
+    for number in 0..10 {
+        service.arrive(request(number), ms(0));
+        let answered = service::Outcome::Answered(ms(100));
+        service.finish(site::Number(0), answered, ms(100));
+    }
+    let before = time(&service);
+    for number in 10..13 {
+        service.arrive(request(number), ms(100));
+    }
+    for number in 13..40 {
+        let answered = service::Outcome::Answered(ms(750));
+        service.finish(site::Number(0), answered, ms(100));
+        service.arrive(request(number), ms(100));
+    }
+    let after = time(&service);
+    assert!(after > before * 2, "{before:?} before, {after:?} after");
+}
+
 /// Load pattern: one key gets ten times what its owner can do, at all hosts. One request waits here
 /// for a slot; those that come after it could only wait in vain.
 #[test]
