control: report how many losses of voters a log tolerates

Cause: when a log loses its leader, the lines name neither its members nor how many voters are needed, so a group that is short of voters looks like hosts that do not reach each other.

Change: the leader logs the number of losses that the log tolerates when it changes, with the voters that do not reply, and sets the gauge yucca_control_tolerated_losses; a host that knows no leader logs the members and the quorum.

--- a/crates/yucca-control/src/replica/maintenance.rs
+++ b/crates/yucca-control/src/replica/maintenance.rs
@@ -29,6 +29,7 @@
         };
         self.joining
             .retain(|_, requested| *requested + CONTACT_TIMEOUT > now);
+        self.report_tolerance(now, since);
         let directory = (self.parts.hosts)();
         let statuses = self.statuses(&directory, now, since);
         if let Some(local) = self.better_leader(&statuses) {
@@ -49,6 +50,41 @@
         }
     }
 
+    /// Returns the time since the last contact with a member.
+    fn silence(
+        &self,
+        replica: &membership::Replica,
+        now: time::Duration,
+        since: time::Duration,
+    ) -> time::Duration {
+        let silence = self.node.time_since_contact(replica);
+        silence.unwrap_or(now.saturating_sub(since))
+    }
+
+    /// Logs a change of the number of losses that the log tolerates, with the voters that do not
+    /// reply.
+    fn report_tolerance(&mut self, now: time::Duration, since: time::Duration) {
+        let members = self.node.members();
+        let silent = members.voters().iter().filter(|voter| {
+            *voter != self.node.replica() && self.silence(voter, now, since) >= CONTACT_TIMEOUT
+        });
+        let silent: Vec<String> = silent.map(ToString::to_string).collect();
+        let (voters, quorum) = (members.voters().len(), members.quorum());
+        let alive = voters - silent.len();
+        let tolerated = alive.saturating_sub(quorum);
+        let log = self.parts.log.to_string();
+        metrics::gauge!("yucca_control_tolerated_losses", "log" => log.clone())
+            .set(tolerated as f64);
+        if self.tolerated.replace(tolerated) == Some(tolerated) {
+            return;
+        }
+        let silent = silent.join(", ");
+        log::info!(
+            "log={log} tolerates the loss of {tolerated} voters: {alive} of {voters} reply, \
+             a quorum is {quorum}; silent=[{silent}]"
+        );
+    }
+
     /// Returns the host that should lead in place of this one: a witness hands over to a replica in
     /// the domain, which the domain's hosts reach without a connection to another domain.
     fn better_leader(&self, statuses: &[membership::Status]) -> Option<id::Host> {
@@ -70,7 +106,7 @@
     ) -> Vec<membership::Status> {
         let mut statuses = Vec::new();
         for replica in self.node.members().iter() {
-            let silence = self.node.time_since_contact(replica).unwrap_or(now - since);
+            let silence = self.silence(replica, now, since);
             let alive = replica == self.node.replica() || silence < CONTACT_TIMEOUT;
             statuses.extend(self.status(directory, replica, alive));
         }
--- a/crates/yucca-control/src/replica/output.rs
+++ b/crates/yucca-control/src/replica/output.rs
@@ -133,10 +133,15 @@
 
     fn handle_follow(&mut self, term: yucca_log::entry::Term, leader: Option<&id::Host>) {
         self.leads_since = None;
+        self.tolerated = None;
         let log = &self.parts.log;
         match leader {
             Some(leader) => log::info!("log={log} term={term} {leader} leads"),
-            None => log::info!("log={log} term={term} no leader is known"),
+            None => {
+                let members = self.node.members();
+                let quorum = members.quorum();
+                log::info!("log={log} term={term} no leader is known; {members}, quorum {quorum}");
+            }
         }
     }
 }
--- a/crates/yucca-control/src/replica/run.rs
+++ b/crates/yucca-control/src/replica/run.rs
@@ -63,6 +63,8 @@
     pub last_tick: time::Duration,
     /// When this replica became leader.
     pub leads_since: Option<time::Duration>,
+    /// Number of voters whose loss this replica, as the leader, last reported as tolerated.
+    pub tolerated: Option<usize>,
     requests: mpsc::Receiver<Request>,
     status: watch::Sender<Status>,
 }
@@ -98,6 +100,7 @@
             maintenance_at: time::Duration::ZERO,
             last_tick: time::Duration::ZERO,
             leads_since: None,
+            tolerated: None,
             requests,
             status,
         })
@@ -257,6 +260,7 @@
         self.last_tick = time::Duration::ZERO;
         self.joining.clear();
         self.leads_since = None;
+        self.tolerated = None;
         self.step(node::Input::Tick);
     }
 
