log: keep the number of voters odd, and replace a lost voter

What callers saw: after a control host had been replaced, by plan or without notice, the next loss of a control host left the deployment without a leader for good.

Cause: a spread log took up to five voters, one at a time, and removed a silent one only once another host was ready to take its place. A host that replaces another joins before the silence is noticed, so the log grew to four voters, one of which never returns: four need three, and the next loss leaves two.

Change: the rule moves to yucca-log as membership::spread and keeps 3 or 5 voters; further hosts are learners. A voter that was silent for 1 s is removed once a learner has caught up, and the learner is promoted; a silent voter beyond an odd number is removed at once. Each committed change is followed by the next check without delay. A learner that was just added counted as silent since the leader's election; it now counts from the time at which the leader began to send to it.

Messages and records are the same, so an old peer reads all of it; an old leader goes on by its own rule.

--- a/crates/yucca-control/src/replica/maintenance.rs
+++ b/crates/yucca-control/src/replica/maintenance.rs
@@ -2,7 +2,7 @@
 
 use std::time;
 
-use indexmap::IndexMap;
+use yucca_log::membership::spread;
 use yucca_log::{membership, node};
 use yucca_wire::id;
 
@@ -16,31 +16,25 @@
 /// request to join is forgotten.
 const CONTACT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
-/// Maximum number of voters of a log that is spread over the domains.
-const MAX_SPREAD_VOTERS: usize = 5;
+/// Time without contact after which a voter of a log that is spread over the domains counts as
+/// dead. It is shorter, as such a voter is only replaced, and may return as a learner.
+const REPLACE_TIMEOUT: time::Duration = time::Duration::from_secs(1);
 
 impl run::Run {
     /// Starts the next change of membership or leadership, if this replica leads and one is due.
     pub fn maintain_members(&mut self) {
         let now = self.now();
         self.maintenance_at = now + INTERVAL;
-        let Some(since) = self.leads_since else {
+        if self.node.role() != node::Role::Leader {
             return;
-        };
+        }
         self.joining
             .retain(|_, requested| *requested + CONTACT_TIMEOUT > now);
-        self.report_tolerance(now, since);
+        self.report_tolerance();
         let directory = (self.parts.hosts)();
-        let statuses = self.statuses(&directory, now, since);
-        if let Some(local) = self.better_leader(&statuses) {
-            log::info!("log={} transferring leadership to {local}", self.parts.log);
-            self.step(node::Input::Transfer { to: Some(local) });
-            return;
-        }
-        let members = self.node.members();
         let change = match &self.parts.rule {
-            Rule::Local(_) => membership::next_change(members, self.node.replica(), &statuses),
-            Rule::Spread => next_spread(members, self.node.replica(), &statuses, &directory),
+            Rule::Local(_) => self.next_local(&directory),
+            Rule::Spread => self.next_spread(&directory),
         };
         if let Some(change) = change {
             let request_id = self.next_request_id();
@@ -50,24 +44,55 @@
         }
     }
 
-    /// Returns the time since the last contact with a member.
-    fn silence(
+    fn next_local(&mut self, directory: &directory::Directory) -> Option<membership::Change> {
+        let statuses = self.statuses(directory);
+        if let Some(local) = self.better_leader(&statuses) {
+            log::info!("log={} transferring leadership to {local}", self.parts.log);
+            self.step(node::Input::Transfer { to: Some(local) });
+            return None;
+        }
+        membership::next_change(self.node.members(), self.node.replica(), &statuses)
+    }
+
+    fn next_spread(&self, directory: &directory::Directory) -> Option<membership::Change> {
+        let members = self.node.members().iter();
+        let joining = self.joining.keys();
+        let joining = joining.filter(|replica| !self.node.members().contains(replica));
+        let statuses = members.chain(joining);
+        let statuses = statuses.filter_map(|replica| self.spread_status(directory, replica));
+        let statuses: Vec<spread::Status> = statuses.collect();
+        spread::next_change(self.node.members(), self.node.replica(), &statuses)
+    }
+
+    /// Returns the status of a replica; `None`, which counts as dead, if the directory does not
+    /// have its host.
+    fn spread_status(
         &self,
+        directory: &directory::Directory,
         replica: &membership::Replica,
-        now: time::Duration,
-        since: time::Duration,
-    ) -> time::Duration {
+    ) -> Option<spread::Status> {
+        let host = directory.hosts.get(&replica.host)?;
+        Some(spread::Status {
+            replica: replica.clone(),
+            domain: host.domain.clone(),
+            disk: host.disk,
+            alive: self.is_alive(replica, REPLACE_TIMEOUT),
+            caught_up: self.node.is_caught_up(replica),
+        })
+    }
+
+    /// Returns whether a replica is this one, has replied within the timeout, or asks to join.
+    fn is_alive(&self, replica: &membership::Replica, timeout: time::Duration) -> bool {
         let silence = self.node.time_since_contact(replica);
-        silence.unwrap_or(now.saturating_sub(since))
+        silence.is_none_or(|silence| silence < timeout)
     }
 
     /// Logs a change of the number of losses that the log tolerates, with the voters that do not
     /// reply.
-    fn report_tolerance(&mut self, now: time::Duration, since: time::Duration) {
+    fn report_tolerance(&mut self) {
         let members = self.node.members();
-        let silent = members.voters().iter().filter(|voter| {
-            *voter != self.node.replica() && self.silence(voter, now, since) >= CONTACT_TIMEOUT
-        });
+        let voters = members.voters().iter();
+        let silent = voters.filter(|voter| !self.is_alive(voter, CONTACT_TIMEOUT));
         let silent: Vec<String> = silent.map(ToString::to_string).collect();
         let (voters, quorum) = (members.voters().len(), members.quorum());
         let alive = voters - silent.len();
@@ -89,7 +114,7 @@
     /// the domain, which the domain's hosts reach without a connection to another domain.
     fn better_leader(&self, statuses: &[membership::Status]) -> Option<id::Host> {
         let is_witness = |s: &membership::Status| s.replica == *self.node.replica() && !s.local;
-        if self.parts.rule == Rule::Spread || !statuses.iter().any(is_witness) {
+        if !statuses.iter().any(is_witness) {
             return None;
         }
         let members = self.node.members();
@@ -98,16 +123,10 @@
         Some(local.replica.host.clone())
     }
 
-    fn statuses(
-        &self,
-        directory: &directory::Directory,
-        now: time::Duration,
-        since: time::Duration,
-    ) -> Vec<membership::Status> {
+    fn statuses(&self, directory: &directory::Directory) -> Vec<membership::Status> {
         let mut statuses = Vec::new();
         for replica in self.node.members().iter() {
-            let silence = self.silence(replica, now, since);
-            let alive = replica == self.node.replica() || silence < CONTACT_TIMEOUT;
+            let alive = self.is_alive(replica, CONTACT_TIMEOUT);
             statuses.extend(self.status(directory, replica, alive));
         }
         for replica in self.joining.keys() {
@@ -137,85 +156,3 @@
         })
     }
 }
-
-/// Returns the next change of a log whose voters are spread over the domains.
-fn next_spread(
-    members: &membership::Members,
-    leader: &membership::Replica,
-    statuses: &[membership::Status],
-    directory: &directory::Directory,
-) -> Option<membership::Change> {
-    let status = |replica: &membership::Replica| statuses.iter().find(|s| s.replica == *replica);
-    let alive = |replica: &membership::Replica| {
-        replica == leader || status(replica).is_some_and(|s| s.alive)
-    };
-    if let Some(dead) = members.learners().iter().find(|learner| !alive(learner)) {
-        return Some(membership::Change::Remove(dead.clone()));
-    }
-    let ready = members.learners().iter().find(|learner| {
-        status(learner).is_some_and(|s| s.caught_up) && !has_voter(members, &learner.host)
-    });
-    let dead = members.voters().iter().find(|voter| !alive(voter));
-    match (dead, ready) {
-        // The replacement catches up first, so that the log lacks a voter only for one change.
-        (Some(dead), Some(_)) => Some(membership::Change::Remove(dead.clone())),
-        (Some(dead), None) if members.learners().is_empty() => {
-            add_spare(members, statuses, directory).or_else(|| remove_restarted(dead, statuses))
-        }
-        (None, Some(ready)) if members.voters().len() < MAX_SPREAD_VOTERS => {
-            Some(membership::Change::Promote(ready.clone()))
-        }
-        (None, None)
-            if members.voters().len() < MAX_SPREAD_VOTERS && members.learners().is_empty() =>
-        {
-            add_spare(members, statuses, directory)
-        }
-        _ => None,
-    }
-}
-
-fn has_voter(members: &membership::Members, host: &id::Host) -> bool {
-    members.voters().iter().any(|voter| voter.host == *host)
-}
-
-/// Removes a dead voter whose host runs a new replica without the old records.
-///
-/// This is the last resort if no other host can replace the voter.
-fn remove_restarted(
-    dead: &membership::Replica,
-    statuses: &[membership::Status],
-) -> Option<membership::Change> {
-    let back = statuses
-        .iter()
-        .any(|s| s.replica.host == dead.host && s.replica != *dead && s.alive);
-    back.then(|| membership::Change::Remove(dead.clone()))
-}
-
-/// Adds a host with a disk as a learner, from the domain with the fewest voters.
-fn add_spare(
-    members: &membership::Members,
-    statuses: &[membership::Status],
-    directory: &directory::Directory,
-) -> Option<membership::Change> {
-    let mut voters: IndexMap<&id::Domain, usize> = IndexMap::new();
-    for voter in members.voters() {
-        if let Some(host) = directory.hosts.get(&voter.host) {
-            *voters.entry(&host.domain).or_default() += 1;
-        }
-    }
-    let free = statuses.iter().filter(|s| {
-        s.alive && s.disk && !members.contains(&s.replica) && !has_voter(members, &s.replica.host)
-    });
-    let voters_in_domain = |s: &&membership::Status| {
-        let domain = directory
-            .hosts
-            .get(&s.replica.host)
-            .map(|host| &host.domain);
-        domain
-            .and_then(|domain| voters.get(domain))
-            .copied()
-            .unwrap_or(0)
-    };
-    let best = free.min_by_key(voters_in_domain)?;
-    Some(membership::Change::AddLearner(best.replica.clone()))
-}
--- a/crates/yucca-control/src/replica/output.rs
+++ b/crates/yucca-control/src/replica/output.rs
@@ -51,6 +51,8 @@
             node::Output::Follow { term, leader } => self.handle_follow(term, leader.as_ref()),
             node::Output::Members(members) => {
                 log::info!("log={} members: {members}", self.parts.log);
+                // A replacement takes several changes.
+                self.maintenance_at = self.now();
             }
             node::Output::TakeSnapshot { version } => {
                 let state = self.machine().save();
@@ -128,11 +130,9 @@
     fn handle_lead(&mut self, term: yucca_log::entry::Term) {
         log::info!("log={} term={term} this host leads", self.parts.log);
         metrics::counter!("yucca_control_elections_won_total").increment(1);
-        self.leads_since = Some(self.now());
     }
 
     fn handle_follow(&mut self, term: yucca_log::entry::Term, leader: Option<&id::Host>) {
-        self.leads_since = None;
         self.tolerated = None;
         let log = &self.parts.log;
         match leader {
--- a/crates/yucca-control/src/replica/run.rs
+++ b/crates/yucca-control/src/replica/run.rs
@@ -61,8 +61,6 @@
     pub maintenance_at: time::Duration,
     /// When the core last received a tick.
     pub last_tick: time::Duration,
-    /// When this replica became leader.
-    pub leads_since: Option<time::Duration>,
     /// Number of voters whose loss this replica, as the leader, last reported as tolerated.
     pub tolerated: Option<usize>,
     requests: mpsc::Receiver<Request>,
@@ -99,7 +97,6 @@
             joining: IndexMap::new(),
             maintenance_at: time::Duration::ZERO,
             last_tick: time::Duration::ZERO,
-            leads_since: None,
             tolerated: None,
             requests,
             status,
@@ -259,7 +256,6 @@
         self.maintenance_at = time::Duration::ZERO;
         self.last_tick = time::Duration::ZERO;
         self.joining.clear();
-        self.leads_since = None;
         self.tolerated = None;
         self.step(node::Input::Tick);
     }
--- a/crates/yucca-log/src/membership.rs
+++ b/crates/yucca-log/src/membership.rs
@@ -1,6 +1,7 @@
 //! The members of a log: voters, learners, and membership changes, which are made one at a time.
 
 mod rule;
+pub mod spread;
 
 use std::fmt;
 
--- a/crates/yucca-log/src/node/change.rs
+++ b/crates/yucca-log/src/node/change.rs
@@ -66,15 +66,14 @@
         known && self.check_caught_up(lead, replica).is_ok()
     }
 
-    /// Returns the time since the request of a member's newest reply was sent; `None` if this
-    /// replica does not lead or the member has not replied in this term.
+    /// Returns the time since the request of a member's newest reply was sent, or, before its first
+    /// reply in this term, since this replica began to send to it. `None` if this replica does not
+    /// lead or the other is not a member.
     pub fn time_since_contact(&self, replica: &membership::Replica) -> Option<std::time::Duration> {
         let State::Leader(lead) = &self.state else {
             return None;
         };
         let progress = lead.progress.get(replica)?;
-        progress
-            .answered
-            .then(|| self.now.saturating_sub(progress.last_contact))
+        Some(self.now.saturating_sub(progress.last_contact))
     }
 }
