log: a voter that is about to stop gives its vote to a learner

What callers saw: nothing yet; the search for the same cause elsewhere found it. A control host that is replaced by plan counts until it was silent for 1 s. A host that is lost in that second leaves the log without a quorum for good.

Cause: the replaced host, which knows that it stops, tells nobody.

In replaced_voters, a loss at 40 moments of a planned stop leaves a quorum; with the order turned round (removed first, then replaced) its three cases fail.

Change: a stopping process reports to the leader until it is no longer a voter, 3 s at most, if there is a learner. The leader promotes the learner first and removes the voter then. Without a learner nothing changes: a host that just restarts keeps its vote.

Old peers can't read the new messages Leave and Left: they close the connection, and it opens again. Only a process that is stopping sends Leave, and only to its leader, so an old leader loses its connection to a host that is about to end anyway, and replaces it by its own rule.

--- a/crates/yucca-control/src/replica.rs
+++ b/crates/yucca-control/src/replica.rs
@@ -23,6 +23,9 @@
 /// Maximum number of requests queued for a replica.
 const QUEUE_REQUESTS: usize = 4096;
 
+/// Interval at which a voter that is about to stop reports so to the leader.
+const LEAVE_INTERVAL: time::Duration = time::Duration::from_millis(100);
+
 /// A state machine shared by its replica and the process.
 pub type Shared = sync::Arc<sync::Mutex<dyn machine::Machine>>;
 
@@ -81,6 +84,8 @@
     pub members: membership::Members,
     /// Whether this replica is a member.
     pub member: bool,
+    /// Whether this replica, which is about to stop, is no longer a voter.
+    pub left: bool,
     /// The storage error that stopped the replica, if any.
     pub fault: Option<String>,
 }
@@ -119,11 +124,13 @@
         answer: oneshot::Sender<Result<id::Version, Error>>,
     },
     Transfer,
+    Leave,
 }
 
 /// A running replica.
 pub struct Replica {
     log: message::Log,
+    rule: Rule,
     group: log_message::Group,
     requests: mpsc::Sender<Request>,
     status: watch::Receiver<Status>,
@@ -139,11 +146,13 @@
         let (requests, receiver) = mpsc::channel(QUEUE_REQUESTS);
         let (status, watched) = watch::channel(Status::default());
         let log = parts.log.clone();
+        let rule = parts.rule.clone();
         let run = run::Run::new(parts, receiver, status)?;
         let task = tokio::spawn(run.run()).abort_handle();
         Ok(Self {
             group: log_message::Group::new(&log.to_string()),
             log,
+            rule,
             requests,
             status: watched,
             task,
@@ -207,8 +216,19 @@
         self.status.clone()
     }
 
-    /// Transfers leadership and waits up to `timeout` until another replica leads.
+    /// Prepares to stop, for `timeout` at most: transfers leadership, then gives the vote to a
+    /// learner if there is one, so that the log tolerates as many losses without this replica.
     pub async fn hand_over(&self, timeout: time::Duration) {
+        let prepared = async {
+            self.transfer().await;
+            self.leave().await;
+        };
+        // If it does not finish in time, the others elect a leader and replace the silent voter.
+        tokio::time::timeout(timeout, prepared).await.ok();
+    }
+
+    /// Transfers leadership and waits until another replica leads.
+    async fn transfer(&self) {
         let status = self.status();
         if !status.leads || status.members.voters().len() < 2 {
             return;
@@ -218,8 +238,27 @@
         }
         let mut status = self.status.clone();
         let handed = status.wait_for(|status| !status.leads && status.leader.is_some());
-        // If the transfer does not finish in time, an election chooses the next leader.
-        tokio::time::timeout(timeout, handed).await.ok();
+        handed.await.ok();
+    }
+
+    /// Reports to the leader that this replica is about to stop, until it is no longer a voter. If
+    /// the leader is lost meanwhile, this replica may have to hand over again.
+    async fn leave(&self) {
+        let mut status = self.status.clone();
+        while self.rule == Rule::Spread && !self.status().members.learners().is_empty() {
+            let request = if self.status().leads {
+                Request::Transfer
+            } else {
+                Request::Leave
+            };
+            if self.requests.send(request).await.is_err() {
+                return;
+            }
+            let left = status.wait_for(|status| status.left);
+            if tokio::time::timeout(LEAVE_INTERVAL, left).await.is_ok() {
+                return;
+            }
+        }
     }
 
     /// Stops the replica immediately.
--- a/crates/yucca-control/src/replica/maintenance.rs
+++ b/crates/yucca-control/src/replica/maintenance.rs
@@ -13,7 +13,7 @@
 const INTERVAL: time::Duration = time::Duration::from_millis(250);
 
 /// Time without contact after which a member counts as dead and is replaced, and after which a
-/// request to join is forgotten.
+/// request to join or a report of a voter that is about to stop is forgotten.
 const CONTACT_TIMEOUT: time::Duration = time::Duration::from_secs(2);
 
 /// Time without contact after which a voter of a log that is spread over the domains counts as
@@ -30,6 +30,8 @@
         }
         self.joining
             .retain(|_, requested| *requested + CONTACT_TIMEOUT > now);
+        self.leaving
+            .retain(|_, reported| *reported + CONTACT_TIMEOUT > now);
         self.report_tolerance();
         let directory = (self.parts.hosts)();
         let change = match &self.parts.rule {
@@ -78,6 +80,7 @@
             disk: host.disk,
             alive: self.is_alive(replica, REPLACE_TIMEOUT),
             caught_up: self.node.is_caught_up(replica),
+            leaving: self.leaving.contains_key(replica),
         })
     }
 
--- a/crates/yucca-control/src/replica/output.rs
+++ b/crates/yucca-control/src/replica/output.rs
@@ -62,6 +62,12 @@
                 let now = self.now();
                 self.joining.insert(replica, now);
             }
+            node::Output::Leaving { replica } => {
+                let now = self.now();
+                self.leaving.insert(replica, now);
+                self.maintenance_at = now;
+            }
+            node::Output::Left => self.left = true,
         }
         None
     }
--- a/crates/yucca-control/src/replica/run.rs
+++ b/crates/yucca-control/src/replica/run.rs
@@ -57,6 +57,10 @@
     pub replies: IndexMap<id::Version, Bytes>,
     /// Replicas that are not members and asked to join, with the time of the last request.
     pub joining: IndexMap<membership::Replica, time::Duration>,
+    /// Voters that are about to stop, with the time of the last report.
+    pub leaving: IndexMap<membership::Replica, time::Duration>,
+    /// Whether this replica, which is about to stop, is no longer a voter.
+    pub left: bool,
     /// When the membership is checked next.
     pub maintenance_at: time::Duration,
     /// When the core last received a tick.
@@ -95,6 +99,8 @@
             reads: IndexMap::new(),
             replies: IndexMap::new(),
             joining: IndexMap::new(),
+            leaving: IndexMap::new(),
+            left: false,
             maintenance_at: time::Duration::ZERO,
             last_tick: time::Duration::ZERO,
             tolerated: None,
@@ -179,6 +185,7 @@
                 self.step(node::Input::Read { request_id });
             }
             Request::Transfer => self.step(node::Input::Transfer { to: None }),
+            Request::Leave => self.step(node::Input::Leave),
         }
     }
 
@@ -256,6 +263,8 @@
         self.maintenance_at = time::Duration::ZERO;
         self.last_tick = time::Duration::ZERO;
         self.joining.clear();
+        self.leaving.clear();
+        self.left = false;
         self.tolerated = None;
         self.step(node::Input::Tick);
     }
@@ -277,6 +286,7 @@
             commit_current: node.is_commit_current(),
             members: node.members().clone(),
             member: node.members().contains(node.replica()),
+            left: self.left,
             fault: None,
         };
         self.status.send_if_modified(|known| {
--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -49,8 +49,8 @@
 /// Open requests get the stop time divided by this; the handover of leadership may take the rest.
 const DRAIN_DIVISOR: u32 = 4;
 
-/// Maximum time that a stopping process waits for another leader.
-const HANDOVER_TIMEOUT: time::Duration = time::Duration::from_millis(1_500);
+/// Maximum time that a stopping process waits for another leader and for a voter in its place.
+const HANDOVER_TIMEOUT: time::Duration = time::Duration::from_millis(3_000);
 
 /// State that the parts of the process share.
 ///
--- a/crates/yucca-log/src/membership/spread.rs
+++ b/crates/yucca-log/src/membership/spread.rs
@@ -2,7 +2,7 @@
 //!
 //! The number of voters is odd, but for the changes between two odd numbers: an even number needs a
 //! larger quorum and tolerates no more losses. Further hosts are learners, which replace a voter
-//! that is lost.
+//! that is lost or about to stop.
 
 use indexmap::IndexMap;
 use yucca_wire::id;
@@ -32,13 +32,15 @@
     pub alive: bool,
     /// Whether it is a learner that has caught up and may be promoted.
     pub caught_up: bool,
+    /// Whether it is about to stop.
+    pub leaving: bool,
 }
 
 /// Returns the membership change that a leader should make next, or `None` if the rule is met.
 ///
 /// `statuses` contains each replica that the leader knows of, itself included; a member that is
 /// missing counts as dead. Load pattern: one loss after another, each as soon as the rule is met
-/// again, and silences of hosts that are not lost. Call this function again once the change is
+/// again or at any moment of a planned replacement, and silences of hosts that are not lost. Call this function again once the change is
 /// committed.
 pub fn next_change(members: &Members, leader: &Replica, statuses: &[Status]) -> Option<Change> {
     let view = View {
@@ -48,6 +50,7 @@
     };
     view.remove_dead_learner()
         .or_else(|| view.remove_dead_voter())
+        .or_else(|| view.remove_leaving())
         .or_else(|| view.promote())
         .or_else(|| view.add_learner())
         .or_else(|| view.remove_surplus())
@@ -83,6 +86,13 @@
         voters.filter(|voter| !self.is_alive(voter))
     }
 
+    fn leaving_voter(&self) -> Option<&Replica> {
+        let mut voters = self.members.voters().iter();
+        voters.find(|voter| {
+            *voter != self.leader && self.status(voter).is_some_and(|status| status.leaving)
+        })
+    }
+
     /// Returns the number of voters that reply, by domain.
     fn voters_by_domain(&self) -> IndexMap<&id::Domain, usize> {
         let mut domains = IndexMap::new();
@@ -97,9 +107,8 @@
     /// Returns whether the replica could vote: no other replica of its host does.
     fn is_free(&self, status: &Status) -> bool {
         let mut voters = self.members.voters().iter();
-        status.alive
-            && status.disk
-            && !voters.any(|v| v.host == status.replica.host && self.is_alive(v))
+        let usable = status.alive && status.disk && !status.leaving;
+        usable && !voters.any(|v| v.host == status.replica.host && self.is_alive(v))
     }
 
     /// Returns the replica in the domain with the fewest voters.
@@ -143,14 +152,24 @@
         dead.find(returned).or_else(|| self.dead_voters().next())
     }
 
+    /// Removes a voter that is about to stop, once its replacement is a voter.
+    fn remove_leaving(&self) -> Option<Change> {
+        let replaced = self.voter_count() > MIN_VOTERS && self.voter_count().is_multiple_of(2);
+        let leaving = self.leaving_voter().filter(|_| replaced)?;
+        Some(Change::Remove(leaving.clone()))
+    }
+
     /// Promotes a learner to reach an odd number of voters, or to replace one that replies: it is
     /// removed afterwards, so that the log never tolerates fewer losses.
     fn promote(&self) -> Option<Change> {
         let best = self.best(self.ready_learners())?;
         let voters = self.voter_count();
         let pair = voters < MAX_VOTERS && self.ready_learners().count() >= 2;
-        let wanted =
-            voters < MIN_VOTERS || voters.is_multiple_of(2) || pair || self.evens_out(best);
+        let wanted = voters < MIN_VOTERS
+            || voters.is_multiple_of(2)
+            || pair
+            || self.leaving_voter().is_some()
+            || self.evens_out(best);
         wanted.then(|| Change::Promote(best.replica.clone()))
     }
 
@@ -166,7 +185,7 @@
         let spares = self.statuses.iter();
         let spares = spares.filter(|s| !self.members.contains(&s.replica) && self.is_free(s));
         let best = self.best(spares)?;
-        let replaces = self.dead_voters().next().is_some();
+        let replaces = self.dead_voters().next().or(self.leaving_voter()).is_some();
         let wanted = if self.voter_count() < MAX_VOTERS {
             MAX_LEARNERS
         } else {
--- a/crates/yucca-log/src/message.rs
+++ b/crates/yucca-log/src/message.rs
@@ -63,6 +63,10 @@
     /// Answers [`Body::Join`]. A leader reports the replica to its owner instead.
     #[serde(rename = "Welcome")]
     JoinReply(JoinReply),
+    /// Reports to the leader that the sender is about to stop and should not vote any more.
+    Leave,
+    /// Answers [`Body::Leave`] once the removal of the sender from the voters is committed.
+    Left,
 }
 
 /// A request for a vote or a pre-vote.
--- a/crates/yucca-log/src/node.rs
+++ b/crates/yucca-log/src/node.rs
@@ -11,6 +11,7 @@
 mod io;
 mod join;
 mod leader;
+mod leave;
 mod outbox;
 mod read;
 mod replicate;
@@ -134,6 +135,7 @@
             Input::Read { request_id } => self.read(request_id),
             Input::Change { request_id, change } => self.change(request_id, &change),
             Input::Transfer { to } => self.transfer(to),
+            Input::Leave => self.leave(),
             Input::Campaign => self.campaign_now(),
             Input::Synced { upto } => self.on_synced(upto),
             Input::Full { sequence } => self.on_disk_full(sequence),
@@ -275,6 +277,8 @@
             message::Body::Snapshot(chunk) => self.on_chunk(sender, term, chunk),
             message::Body::ChunkReply(reply) => self.on_chunk_reply(&sender, term, &reply),
             message::Body::Campaign => self.on_campaign(&sender, term),
+            message::Body::Leave => self.on_leave(sender),
+            message::Body::Left => self.on_left(&sender, term),
             message::Body::Join | message::Body::JoinReply(_) => {}
         }
     }
--- a/crates/yucca-log/src/node/io.rs
+++ b/crates/yucca-log/src/node/io.rs
@@ -46,6 +46,9 @@
         /// The next leader.
         to: Option<id::Host>,
     },
+    /// Reports to the leader that this replica is about to stop. The message may be lost, so the
+    /// owner repeats it until [`Output::Left`].
+    Leave,
     /// Campaigns without waiting for the election timeout, because the owner assumes that the
     /// leader is lost.
     Campaign,
@@ -146,6 +149,13 @@
         /// The replica.
         replica: membership::Replica,
     },
+    /// A voter is about to stop. Emitted by the leader.
+    Leaving {
+        /// The replica.
+        replica: membership::Replica,
+    },
+    /// This replica, which is about to stop, is no longer a voter.
+    Left,
 }
 
 /// Why a proposal, change or read is refused.
--- a/crates/yucca-log/tests/fake/mod.rs
+++ b/crates/yucca-log/tests/fake/mod.rs
@@ -86,6 +86,8 @@
     pub applied: id::Version,
     pub installs: u64,
     pub joining: IndexSet<membership::Replica>,
+    pub leaving: IndexSet<membership::Replica>,
+    pub left: bool,
 }
 
 pub struct Net {
@@ -189,6 +191,8 @@
             applied: id::Version(0),
             installs: 0,
             joining: IndexSet::new(),
+            leaving: IndexSet::new(),
+            left: false,
         };
         self.hosts.insert(name.clone(), host);
         self.start(&name);
@@ -324,6 +328,13 @@
         self.answers[&request_id].clone()
     }
 
+    /// Proposes a membership change to a leader without waiting for the answer.
+    pub fn start_change(&mut self, leader: &id::Host, change: membership::Change) {
+        self.request_id += 1;
+        let request_id = self.request_id;
+        self.input(leader, node::Input::Change { request_id, change });
+    }
+
     /// Proposes an entry to the leader and waits for its commit.
     pub fn commit(&mut self, entry: &str) -> id::Version {
         let leader = self.await_leader();
@@ -382,6 +393,10 @@
                 assert_eq!(other, None, "two leaders in term {term}");
             }
             node::Output::TakeSnapshot { .. } => self.take_snapshot(name),
+            node::Output::Leaving { replica } => {
+                self.hosts[name].leaving.insert(replica);
+            }
+            node::Output::Left => self.hosts[name].left = true,
             node::Output::Joining { replica } => {
                 self.hosts[name].joining.insert(replica);
             }
--- a/crates/yucca-log/tests/message_garbage.rs
+++ b/crates/yucca-log/tests/message_garbage.rs
@@ -92,6 +92,8 @@
         }),
         Just(Body::Campaign),
         Just(Body::Join),
+        Just(Body::Leave),
+        Just(Body::Left),
         Just(Body::JoinReply(JoinReply::Empty)),
     ]
 }
--- /dev/null
+++ b/crates/yucca-log/tests/replaced_voters.rs
@@ -0,0 +1,263 @@
+//! Replacements of voters of a spread log: one loss after another, planned stops, and hosts that
+//! are silent but not lost.
+#![allow(clippy::unwrap_used)]
+
+mod fake;
+
+use std::time::Duration;
+
+use fake::{Net, host, millis};
+use test_case::test_case;
+use yucca_log::membership::{Members, spread};
+use yucca_log::node;
+use yucca_wire::id;
+
+/// Time without a reply after which the owner of a replica reports a voter as dead.
+const REPLACE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Interval at which the owner checks the membership, and repeats that a voter is about to stop.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time after the start of a replacement after which the next loss must be tolerated, as the
+/// platform requires.
+const NEXT_LOSS: Duration = Duration::from_secs(4);
+
+/// Maximum time that a host that is about to stop waits for its removal.
+const STOP_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Returns a log of three voters with some acknowledged entries.
+fn started(seed: u64) -> Net {
+    let mut net = Net::new(&["a", "b", "c"], seed);
+    for number in 0..20 {
+        net.commit(&format!("{number}"));
+    }
+    net
+}
+
+/// Starts a host without records, which asks the others to join.
+fn join(net: &mut Net, name: &str) {
+    let mut config = node::Config::new(host(name), "test");
+    config.peers = net.names();
+    config.snapshot_entries = 50;
+    config.keep_entries = 10;
+    let incarnation = net.hosts.len() as u64 + 100;
+    net.add_with(
+        config,
+        yucca_log::storage::Recovered::empty(incarnation),
+        false,
+    );
+}
+
+/// Ends a process and deletes its records.
+fn wipe(net: &mut Net, name: &id::Host) {
+    net.hosts[name].diskless = true;
+    net.crash(name);
+    net.hosts[name].diskless = false;
+    net.hosts[name].config.peers = net.names();
+}
+
+/// Starts the change that the rule requires, as the owner of the leader would.
+fn maintain(net: &mut Net) {
+    let Some(leader) = net.leader() else {
+        return;
+    };
+    let node = net.node(&leader);
+    let joining = net.hosts[&leader].joining.iter().filter(|replica| {
+        let joined = net.hosts[&replica.host].node.as_ref();
+        joined.is_some_and(|node| node.replica() == *replica) && !node.members().contains(replica)
+    });
+    let statuses = node.members().iter().chain(joining).map(|replica| {
+        let silence = node.time_since_contact(replica);
+        spread::Status {
+            replica: replica.clone(),
+            domain: replica.host.as_str().parse().unwrap(),
+            disk: true,
+            alive: silence.is_none_or(|silence| silence < REPLACE_TIMEOUT),
+            caught_up: node.is_caught_up(replica),
+            leaving: net.hosts[&leader].leaving.contains(replica),
+        }
+    });
+    let statuses: Vec<spread::Status> = statuses.collect();
+    if let Some(change) = spread::next_change(node.members(), node.replica(), &statuses) {
+        net.start_change(&leader, change);
+    }
+}
+
+/// Runs for a time with maintenance of the membership, while entries are proposed.
+fn run(net: &mut Net, span: Duration) {
+    let end = net.now + span;
+    while net.now < end {
+        if let Some(leader) = net.leader() {
+            net.propose(&leader, format!("at {:?}", net.now));
+        }
+        net.run(INTERVAL.min(end - net.now));
+        maintain(net);
+    }
+}
+
+fn members(net: &Net) -> Members {
+    net.node(&net.leader().unwrap()).members().clone()
+}
+
+/// Checks that there are three voters, all of them running.
+fn assert_three_running_voters(net: &Net) {
+    let members = members(net);
+    let running = members.voters().iter().filter(|voter| {
+        let node = net.hosts[&voter.host].node.as_ref();
+        node.is_some_and(|node| node.replica() == *voter)
+    });
+    assert_eq!(running.count(), 3, "{members}");
+    assert_eq!(members.voters().len(), 3, "{members}");
+}
+
+/// Returns the host that is lost: the leader, or the first or second of the other voters.
+fn pick(net: &mut Net, which: usize) -> id::Host {
+    let leader = net.await_leader();
+    let voters = members(net);
+    let mut hosts: Vec<id::Host> = voters.voters().iter().map(|v| v.host.clone()).collect();
+    hosts.sort_by_key(|name| *name != leader);
+    hosts[which].clone()
+}
+
+/// A host is gone for good and another comes at a new address; after that, one host after the other
+/// loses its records and returns.
+#[test_case(0, 0; "the leader, at once")]
+#[test_case(0, 900; "the leader, before its silence counts")]
+#[test_case(1, 0; "a follower, at once")]
+#[test_case(1, 900; "a follower, before its silence counts")]
+#[test_case(2, 2_500; "a follower, late")]
+fn losses_after_a_replacement_leave_a_quorum(which: usize, after_ms: u64) {
+    for seed in 0..20 {
+        let mut net = started(seed);
+        let lost = pick(&mut net, which);
+        wipe(&mut net, &lost);
+        run(&mut net, millis(after_ms));
+        join(&mut net, "d");
+        run(&mut net, NEXT_LOSS);
+        assert_three_running_voters(&net);
+        for next in [0, 1, 2, 0] {
+            let lost = pick(&mut net, next);
+            wipe(&mut net, &lost);
+            run(&mut net, millis(300));
+            net.start(&lost);
+            run(&mut net, NEXT_LOSS);
+            assert_three_running_voters(&net);
+        }
+        net.commit("after the losses");
+    }
+}
+
+/// A voter is told to stop while a learner can replace it, and another voter is lost at any moment
+/// from then on.
+#[test_case(0, 0; "the leader stops, the next is lost")]
+#[test_case(1, 0; "a follower stops, the leader is lost")]
+#[test_case(1, 2; "a follower stops, another one is lost")]
+fn a_loss_during_a_planned_stop_leaves_a_quorum(stops: usize, is_lost: usize) {
+    for moment in (0..400).step_by(10) {
+        let mut net = started(moment);
+        join(&mut net, "d");
+        run(&mut net, NEXT_LOSS);
+        assert_eq!(members(&net).learners().len(), 1);
+        let stopping = pick(&mut net, stops);
+        let mut lost = pick(&mut net, is_lost);
+        if lost == stopping {
+            lost = pick(&mut net, 1);
+        }
+        let lost_at = net.now + millis(moment);
+        let until = net.now + STOP_TIMEOUT;
+        while net.now < until && !net.hosts[&stopping].left {
+            let leads = net.node(&stopping).role() == node::Role::Leader;
+            let input = if leads {
+                node::Input::Transfer { to: None }
+            } else {
+                node::Input::Leave
+            };
+            net.input(&stopping, input);
+            for _ in 0..10 {
+                net.run(millis(5));
+                maintain(&mut net);
+                if net.now >= lost_at && net.hosts[&lost].node.is_some() {
+                    wipe(&mut net, &lost);
+                }
+            }
+        }
+        assert!(
+            net.hosts[&stopping].left,
+            "moment {moment}: {}",
+            members(&net)
+        );
+        wipe(&mut net, &stopping);
+        if net.hosts[&lost].node.is_some() {
+            wipe(&mut net, &lost);
+        }
+        net.commit("after both");
+    }
+}
+
+/// A voter is silent for seconds while a learner is ready, and returns with its records.
+#[test_case(false; "paused")]
+#[test_case(true; "cut off")]
+fn a_silent_voter_returns_as_a_learner(cut: bool) {
+    for which in 0..3 {
+        let mut net = started(which as u64);
+        join(&mut net, "d");
+        run(&mut net, NEXT_LOSS);
+        let silent = pick(&mut net, which);
+        if cut {
+            net.isolate(&silent);
+        } else {
+            net.pause(&silent);
+        }
+        run(&mut net, millis(3_000));
+        assert_three_running_voters(&net);
+        let term = net.node(&net.leader().unwrap()).term();
+        net.heal();
+        net.resume(&silent);
+        run(&mut net, NEXT_LOSS);
+        let members = members(&net);
+        assert_eq!(net.node(&net.leader().unwrap()).term(), term);
+        assert_three_running_voters(&net);
+        assert_eq!(members.learners().len(), 1, "{members}");
+        assert_eq!(members.learners()[0].host, silent);
+        let lost = pick(&mut net, 0);
+        wipe(&mut net, &lost);
+        net.commit("after a loss");
+    }
+}
+
+/// A voter is silent for seconds and no other host could replace it: nothing changes.
+#[test]
+fn a_silent_voter_without_a_replacement_stays() {
+    for which in 0..3 {
+        let mut net = started(which as u64);
+        let before = members(&net);
+        let silent = pick(&mut net, which);
+        net.isolate(&silent);
+        run(&mut net, millis(5_000));
+        net.heal();
+        run(&mut net, NEXT_LOSS);
+        assert_eq!(members(&net), before);
+        net.settle();
+    }
+}
+
+/// Two halves of four hosts can't reach each other: the half with two voters goes on.
+#[test]
+fn a_cut_in_halves_leaves_a_leader() {
+    let mut net = started(1);
+    join(&mut net, "d");
+    run(&mut net, NEXT_LOSS);
+    let members = members(&net);
+    let voters: Vec<id::Host> = members.voters().iter().map(|v| v.host.clone()).collect();
+    for one in &voters[..2] {
+        for other in [&voters[2], &host("d")] {
+            net.cut(one, other);
+        }
+    }
+    run(&mut net, millis(3_000));
+    net.commit("during the cut");
+    net.heal();
+    run(&mut net, NEXT_LOSS);
+    assert_three_running_voters(&net);
+    net.settle();
+}
--- a/crates/yucca-log/tests/spread_rule.rs
+++ b/crates/yucca-log/tests/spread_rule.rs
@@ -20,6 +20,7 @@
         disk: true,
         alive,
         caught_up: alive,
+        leaving: false,
     }
 }
 
@@ -111,6 +112,34 @@
     );
 }
 
+#[test]
+fn a_voter_that_is_about_to_stop_is_removed_after_its_replacement_votes() {
+    let members = Members::new(["a1", "b1", "c1"].map(replica));
+    let members = members.with(&Change::AddLearner(replica("c2"))).unwrap();
+    let mut statuses = Vec::from(["a1", "b1", "c1", "c2"].map(|name| status(name, true)));
+    statuses[2].leaving = true;
+    let leader = replica("a1");
+    let promote = Change::Promote(replica("c2"));
+    assert_eq!(
+        spread::next_change(&members, &leader, &statuses),
+        Some(promote.clone())
+    );
+    let members = members.with(&promote).unwrap();
+    assert_eq!(
+        spread::next_change(&members, &leader, &statuses),
+        Some(Change::Remove(replica("c1")))
+    );
+}
+
+#[test]
+fn a_voter_that_is_about_to_stop_stays_without_a_replacement() {
+    let members = Members::new(["a1", "b1", "c1"].map(replica));
+    let mut statuses = Vec::from(["a1", "b1", "c1"].map(|name| status(name, true)));
+    statuses[2].leaving = true;
+    let change = spread::next_change(&members, &replica("a1"), &statuses);
+    assert_eq!(change, None);
+}
+
 #[test]
 fn a_learner_that_falls_silent_is_removed() {
     let members = Members::new(["a1", "b1", "c1"].map(replica));
--- a/crates/yucca-spec/src/replica/state.rs
+++ b/crates/yucca-spec/src/replica/state.rs
@@ -458,7 +458,10 @@
         message::Body::Append(append) => append.entries.is_empty(),
         message::Body::VoteReply(reply) => !reply.granted,
         message::Body::PreVote(_) | message::Body::PreVoteReply(_) => !setup.asks_pre_votes(),
-        message::Body::Join | message::Body::JoinReply(_) => true,
+        message::Body::Join
+        | message::Body::JoinReply(_)
+        | message::Body::Leave
+        | message::Body::Left => true,
         _ => false,
     }
 }
