spec: search the membership rule of a spread log

Hosts are stopped by plan, lost with or without their records, noticed late, return, and are replaced by others; the changes are those of the product's rule.

--- a/crates/yucca-spec/src/lib.rs
+++ b/crates/yucca-spec/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod quorum;
 pub mod replica;
 pub mod search;
+pub mod spread;
 pub mod ticket;
--- a/crates/yucca-spec/src/quorum.rs
+++ b/crates/yucca-spec/src/quorum.rs
@@ -76,12 +76,12 @@
 /// Names of the hosts, in order.
 const NAMES: [&str; 8] = ["a", "b", "c", "d", "e", "f", "g", "h"];
 
-fn replica(index: usize, incarnation: u64) -> Option<Replica> {
+pub(crate) fn replica(index: usize, incarnation: u64) -> Option<Replica> {
     let host = NAMES.get(index)?.parse().ok()?;
     Some(Replica { host, incarnation })
 }
 
-fn index(replica: &Replica) -> usize {
+pub(crate) fn index(replica: &Replica) -> usize {
     let position = NAMES.iter().position(|name| *name == replica.host.as_str());
     position.unwrap_or_default()
 }
@@ -106,7 +106,7 @@
 /// Description of the step that led to a state. All steps are equal, so that states are compared
 /// without them.
 #[derive(Debug, Clone)]
-struct Step(String);
+pub(crate) struct Step(pub(crate) String);
 
 impl PartialEq for Step {
     fn eq(&self, _other: &Self) -> bool {
@@ -268,7 +268,7 @@
 }
 
 /// Returns the smallest quorums of these voters that contain the leader.
-fn quorums(voters: &[Replica], size: usize, leader: &Replica) -> Vec<Vec<Replica>> {
+pub(crate) fn quorums(voters: &[Replica], size: usize, leader: &Replica) -> Vec<Vec<Replica>> {
     let subsets = 0_u32..1 << voters.len();
     let quorum_sized = subsets.filter(|subset| subset.count_ones() as usize == size);
     let chosen = quorum_sized.map(|subset| {
