entry: report the limit that a target states

Targets in need state in their answers how many requests a second they take from all hosts together. Nothing reads it yet, so the logs can't tell whether hosts know of a limit, and how much each of them sends.

Change: the target's dialect decodes the statement; values that are no rate are counted (yucca_entry_invalid_limits_total) and ignored. Each host logs when a target begins to state a limit and, when it no longer does, for how long and how many requests the host sent meanwhile. The limit is not applied yet.

--- a/crates/yucca-fleet/src/dialect/target.rs
+++ b/crates/yucca-fleet/src/dialect/target.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, response};
 use yucca_own::site::item;
+use yucca_wire::unit;
 
 /// Properties of an attempt that are sent to the target.
 #[derive(Debug, Clone, Copy)]
@@ -39,4 +40,11 @@
 
     /// Returns the meaning of the head of an answer to the request `id`, sent to `target`.
     fn classify(&self, parts: &response::Parts, id: &Bytes, target: &item::Name) -> Verdict;
+
+    /// Returns the requests per second that a target takes from all hosts together, if it states
+    /// that in an answer.
+    ///
+    /// # Errors
+    /// Fails if what it states is not a rate.
+    fn limit(&self, headers: &HeaderMap) -> Result<Option<unit::Rate>, unit::Error>;
 }
--- a/crates/yucca-fleet/src/entry/dispatcher.rs
+++ b/crates/yucca-fleet/src/entry/dispatcher.rs
@@ -7,9 +7,9 @@
 use indexmap::IndexMap;
 use rand::Rng;
 use tokio::sync::{Notify, oneshot};
-use yucca_lane::shared::{service, target, window};
+use yucca_lane::shared::{limit, service, target, window};
 use yucca_own::site::{balance, delta, item, range, target as site};
-use yucca_wire::id;
+use yucca_wire::{id, unit};
 
 use crate::mutex::lock;
 
@@ -174,6 +174,24 @@
         }
     }
 
+    /// Applies the limit that a target stated in an answer, or the end of its limit. Returns whether
+    /// that began or ended a limit.
+    pub fn set_limit(
+        &self,
+        name: &item::Name,
+        target: site::Number,
+        stated: Option<unit::Rate>,
+        hosts: service::Hosts,
+        now: time::Duration,
+    ) -> Option<limit::Change> {
+        let mut change = None;
+        self.with_queue(name, |queue| {
+            change = queue.service.set_limit(target, stated, hosts, now);
+            Vec::new()
+        });
+        change
+    }
+
     /// Records the outcome of a request that was sent.
     pub fn finish(
         &self,
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -9,7 +9,7 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body;
 use rand::Rng;
-use yucca_lane::shared::service;
+use yucca_lane::shared::{limit, service};
 use yucca_own::site::{item, range, target as site};
 
 use crate::dialect::{caller, target};
@@ -328,6 +328,7 @@
                 let verdict = self.target.classify(&parts, &job.head.id, &target.name);
                 history.record(&target.name, history::describe(verdict));
                 let took = self.clock.now().saturating_sub(start);
+                self.record_limit(job, number, &target.name, &parts, verdict);
                 flight.outcome = outcome(verdict, took, job.head.key, token);
                 match verdict {
                     target::Verdict::Answer => Attempt::Answer(inbound(parts, body)),
@@ -346,6 +347,53 @@
         }
     }
 
+    /// Applies the limit that a target states in an answer. An answer to the request without one ends
+    /// it; a refusal may come from a part of the target that states nothing.
+    fn record_limit(
+        &self,
+        job: &Job,
+        number: site::Number,
+        target: &item::Name,
+        parts: &response::Parts,
+        verdict: target::Verdict,
+    ) {
+        let ran = matches!(verdict, target::Verdict::Answer | target::Verdict::Failure);
+        let trusted = ran || matches!(verdict, target::Verdict::Shed | target::Verdict::NotOwner);
+        let stated = match self.target.limit(&parts.headers) {
+            Ok(stated) => stated,
+            Err(error) => {
+                metrics::counter!("yucca_entry_invalid_limits_total").increment(1);
+                log::debug!("target={target} limit ignored: {error}");
+                return;
+            }
+        };
+        if !trusted || (stated.is_none() && !ran) {
+            return;
+        }
+        let now = self.clock.now();
+        let peers = self.peers.load();
+        let hosts = service::Hosts {
+            near: peers.near.len() + 1,
+            all: lock(&self.host_peak).record(peers.count() + 1, now),
+        };
+        let changed = self
+            .dispatcher
+            .set_limit(&job.service, number, stated, hosts, now);
+        match changed {
+            Some(limit::Change::Started(rate)) => {
+                log::info!("target={target} limits the requests of all hosts to {rate}");
+            }
+            Some(limit::Change::Ended(limit)) => {
+                let (age, sent, rate) = (limit.age(now), limit.sent(), limit.stated());
+                log::info!(
+                    "target={target} no longer limits requests; last to {rate}, for {age:?}, in \
+                     which this host sent {sent}"
+                );
+            }
+            None => {}
+        }
+    }
+
     fn outgoing(
         &self,
         job: &Job,
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -5,10 +5,10 @@
 use indexmap::{IndexMap, IndexSet};
 use xxhash_rust::xxh3;
 use yucca_own::site::{balance, delta, item, range, target as site};
-use yucca_wire::id;
+use yucca_wire::{id, unit};
 
 use crate::estimate;
-use crate::shared::target;
+use crate::shared::{limit, target};
 
 /// Maximum number of requests at a target beyond its slots. They hide the network round trip.
 const QUEUE_DEPTH: u32 = 1;
@@ -42,6 +42,36 @@
 /// cannot be in time.
 const MIN_WAIT_DIVISOR: u32 = 4;
 
+/// Part of a target's limit that the hosts of its domain use if its service is not divided by key.
+/// Those of other domains send to it only when their own targets have no room.
+const NEAR_SHARE: f64 = 0.75;
+
+/// Numbers of entry hosts that send to the same targets.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hosts {
+    /// Hosts of this domain, this one included.
+    pub near: usize,
+    /// Hosts of all domains, this one included.
+    pub all: usize,
+}
+
+impl Hosts {
+    /// Returns the share of a target's limit that this host may use. The shares of all hosts add up
+    /// to 1 at most.
+    fn share(&self, keyed: bool, near: bool) -> f64 {
+        let even = 1.0 / self.all.max(1) as f64;
+        if keyed || self.all <= self.near {
+            return even;
+        }
+        if near {
+            NEAR_SHARE / self.near.max(1) as f64
+        } else {
+            // The number of hosts in the target's own domain is not known.
+            (1.0 - NEAR_SHARE) * even
+        }
+    }
+}
+
 /// A waiting request.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Request {
@@ -270,10 +300,25 @@
     /// Records that a request was not sent after all.
     pub fn cancel_send(&mut self, number: site::Number) {
         if let Some(target) = self.targets.get_mut(&number) {
-            target.own = target.own.saturating_sub(1);
+            target.cancel_send();
         }
     }
 
+    /// Applies the limit that a target stated in an answer, or the end of its limit. The limit is
+    /// for the requests of all `hosts`. Returns whether that began or ended a limit.
+    pub fn set_limit(
+        &mut self,
+        number: site::Number,
+        stated: Option<unit::Rate>,
+        hosts: Hosts,
+        now: time::Duration,
+    ) -> Option<limit::Change> {
+        let keyed = self.keyed;
+        let target = self.targets.get_mut(&number)?;
+        let share = hosts.share(keyed, target.facts.near);
+        target.set_limit(stated, share, now)
+    }
+
     /// Records the outcome of a request and returns the decisions that are due.
     pub fn finish(
         &mut self,
@@ -353,7 +398,7 @@
             if let Some((target, token)) = self.place(request, now) {
                 self.waiting.shift_remove(&number);
                 if let Some(target) = self.targets.get_mut(&target) {
-                    target.own += 1;
+                    target.record_send(now);
                 }
                 decisions.push(Decision::Send {
                     number,
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -3,8 +3,10 @@
 use std::time;
 
 use yucca_own::site::target;
+use yucca_wire::unit;
 
 use crate::estimate;
+use crate::shared::limit;
 
 /// Pause after the first failure to reach a target. It doubles with each further failure.
 const FIRST_FAILURE_PAUSE: time::Duration = time::Duration::from_millis(400);
@@ -61,6 +63,8 @@
     measured: Measurement,
     /// Answers since the last digest, for the other hosts of this domain.
     unshared: Measurement,
+    /// The limit that it states, if any.
+    limit: Option<limit::Limit>,
 }
 
 /// Number of answers and their total service time.
@@ -100,6 +104,7 @@
             average: 0.0,
             measured: Measurement::default(),
             unshared: Measurement::default(),
+            limit: None,
         }
     }
 
@@ -127,6 +132,48 @@
         self.facts.open && now >= self.paused_until
     }
 
+    /// Returns the limit that it states, if any.
+    pub fn limit(&self) -> Option<&limit::Limit> {
+        self.limit.as_ref()
+    }
+
+    /// Applies the limit that it stated in an answer, of which this host may use `share`, or the end
+    /// of its limit. Returns whether that began or ended a limit.
+    pub fn set_limit(
+        &mut self,
+        stated: Option<unit::Rate>,
+        share: f64,
+        now: time::Duration,
+    ) -> Option<limit::Change> {
+        match (stated, &mut self.limit) {
+            (Some(stated), Some(limit)) => {
+                limit.update(stated, share, now);
+                None
+            }
+            (Some(stated), None) => {
+                self.limit = Some(limit::Limit::new(stated, share, now));
+                Some(limit::Change::Started(stated))
+            }
+            (None, _) => self.limit.take().map(limit::Change::Ended),
+        }
+    }
+
+    /// Counts a request that is sent.
+    pub fn record_send(&mut self, now: time::Duration) {
+        self.own += 1;
+        if let Some(limit) = &mut self.limit {
+            limit.take(now);
+        }
+    }
+
+    /// Takes back the count of a request that was not sent after all.
+    pub fn cancel_send(&mut self) {
+        self.own = self.own.saturating_sub(1);
+        if let Some(limit) = &mut self.limit {
+            limit.give_back();
+        }
+    }
+
     /// Returns whether it is open and earlier failures are the only reason not to send to it.
     pub fn is_suspect(&self) -> bool {
         self.facts.open && self.failures > 0 && self.refusals == 0
