lane: keep the hosts' requests within the limit that a target states

No host alone sent more than two a second, but eleven did.

Cause: nothing applied the limit. It is a limit of a class that no host can see by itself: on the sum over hosts that don't talk to each other.

Change: each host sends at turns of its own, evenly spaced at its fixed share of the limit, and offset by a random phase. A turn can be used for a second and is then lost. Without keys, hosts of the target's domain share three quarters. Requests that the limit allows no longer in time are refused when they arrive; reports to the balance of keys count the time that the limit costs, so that keys move away without a change of the protocol.

Why it works: in 4 s at most the turns of 5 s are used, 5 times the limit where 6 times and 5 requests are allowed, whatever the load.

Weighed: shares by demand, exchanged in the digests between the hosts of a domain. They use the limit better where load is uneven, but cost bytes in each digest, are stale during cuts, and older hosts would drop the digests.

--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -20,6 +20,7 @@
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body;
+use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::task;
@@ -64,6 +65,8 @@
     seeds: watch::Sender<Vec<net::IpAddr>>,
     /// Greatest recent number of known entry hosts, this one included.
     host_peak: sync::Mutex<peak::Peak>,
+    /// Random number from 0 to 1, see [`service::Hosts::phase`].
+    phase: f64,
     /// The other entry hosts.
     peers: ArcSwap<gossip::Peers>,
 }
@@ -120,6 +123,7 @@
             synced: watch::Sender::new(false),
             stopping: watch::Sender::new(false),
             host_peak: sync::Mutex::default(),
+            phase: rand::rng().random(),
             peers: ArcSwap::default(),
         });
         let (events, received) = mpsc::channel(MAX_QUEUED_EVENTS);
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -375,6 +375,7 @@
         let hosts = service::Hosts {
             near: peers.near.len() + 1,
             all: lock(&self.host_peak).record(peers.count() + 1, now),
+            phase: self.phase,
         };
         let changed = self
             .dispatcher
--- a/crates/yucca-lane/src/shared/limit.rs
+++ b/crates/yucca-lane/src/shared/limit.rs
@@ -3,16 +3,18 @@
 //! The limit applies to the requests of all hosts together, and each host knows only its own. Every
 //! host therefore uses a fixed share, so that the sum stays within the limit without
 //! communication, also while hosts are cut off from each other.
+//!
+//! A host may send one request at each of its turns, which are evenly spaced. The turns of different
+//! hosts are spread by a random phase, and a turn that is not used in time is lost. With a hundred
+//! hosts and a low limit, the requests that all of them could save up would exceed the limit for
+//! seconds.
 
 use std::time;
 
 use yucca_wire::unit;
 
-/// Minimum number of requests that a host may save up while it sends none.
-const MIN_SAVED: f64 = 1.0;
-
-/// Time for which unused parts of the share are saved up.
-const SAVED_TIME: time::Duration = time::Duration::from_millis(500);
+/// Time for which an unused turn may still be used.
+const SAVED_TIME: time::Duration = time::Duration::from_secs(1);
 
 /// Rate at which all hosts together try a target whose limit is lower, to learn when it ends.
 const PROBE_RATE: f64 = 0.5;
@@ -29,15 +31,24 @@
     Ended(Limit),
 }
 
+/// The part of a limit that one host uses.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Share {
+    /// Share of the rate, at most 1.
+    pub rate: f64,
+    /// Time until the first turn, as a share of the interval between turns, below 1. It should be
+    /// random.
+    pub phase: f64,
+}
+
 /// A stated limit in effect.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Limit {
     stated: unit::Rate,
-    /// Requests per second that this host may send.
-    rate: f64,
-    /// Requests that this host may send now; a fraction of one accumulates.
-    tokens: f64,
-    updated: time::Duration,
+    /// Time between turns of this host.
+    interval: time::Duration,
+    /// The first turn that is not used; it may be lost.
+    next: time::Duration,
     /// When the limit was first stated.
     since: time::Duration,
     /// Number of requests sent since.
@@ -45,28 +56,28 @@
 }
 
 impl Limit {
-    /// Creates a limit of which this host may use `share`, at most 1.
-    pub fn new(stated: unit::Rate, share: f64, now: time::Duration) -> Self {
-        let mut limit = Self {
+    /// Creates a limit of which this host may use `share`.
+    pub fn new(stated: unit::Rate, share: Share, now: time::Duration) -> Self {
+        let interval = interval(stated, share);
+        Self {
             stated,
-            rate: 0.0,
-            tokens: 0.0,
-            updated: now,
+            interval,
+            next: now + interval.mul_f64(share.phase.clamp(0.0, 1.0)),
             since: now,
             sent: 0,
-        };
-        limit.update(stated, share, now);
-        limit.tokens = limit.capacity();
-        limit
+        }
     }
 
     /// Applies another statement of the target, or another share.
-    pub fn update(&mut self, stated: unit::Rate, share: f64, now: time::Duration) {
-        self.tokens = self.tokens(now);
-        self.updated = now;
+    pub fn update(&mut self, stated: unit::Rate, share: Share, now: time::Duration) {
+        let before = self.interval;
+        self.next = self.turn(now);
         self.stated = stated;
-        self.rate = stated.0.max(PROBE_RATE) * share.clamp(MIN_SHARE, 1.0);
-        self.tokens = self.tokens.min(self.capacity());
+        self.interval = interval(stated, share);
+        if let Some(left) = self.next.checked_sub(now) {
+            // Keeps the phase.
+            self.next = now + left.mul_f64(self.interval.as_secs_f64() / before.as_secs_f64());
+        }
     }
 
     /// Returns the limit as the target stated it.
@@ -74,6 +85,11 @@
         self.stated
     }
 
+    /// Returns the time between two requests of all hosts together.
+    pub fn all_interval(&self) -> time::Duration {
+        time::Duration::from_secs_f64(1.0 / self.stated.0.max(PROBE_RATE))
+    }
+
     /// Returns how long the limit has been stated.
     pub fn age(&self, now: time::Duration) -> time::Duration {
         now.saturating_sub(self.since)
@@ -86,38 +102,48 @@
 
     /// Returns whether a request may be sent now.
     pub fn allows(&self, now: time::Duration) -> bool {
-        self.next_at(0) <= now
+        self.turn(now) <= now
     }
 
-    /// Returns when a request may be sent, after `ahead` others.
-    pub fn next_at(&self, ahead: u32) -> time::Duration {
-        let lacking = f64::from(ahead) + 1.0 - self.tokens;
-        if lacking <= 0.0 {
-            return self.updated;
-        }
-        // Both are finite and the rate is not zero.
-        self.updated + time::Duration::from_secs_f64(lacking / self.rate)
+    /// Returns when the next request may be sent.
+    pub fn next_at(&self, now: time::Duration) -> time::Duration {
+        now.max(self.turn(now))
+    }
+
+    /// Returns the number of requests that may be sent until `until`.
+    pub fn turns(&self, until: time::Duration, now: time::Duration) -> u32 {
+        let Some(time) = until.checked_sub(self.turn(now)) else {
+            return 0;
+        };
+        // Converting to an integer saturates.
+        ((time.as_secs_f64() / self.interval.as_secs_f64()) as u32).saturating_add(1)
     }
 
     /// Counts a request that is sent.
     pub fn take(&mut self, now: time::Duration) {
-        self.tokens = self.tokens(now) - 1.0;
-        self.updated = now;
+        self.next = self.turn(now) + self.interval;
         self.sent += 1;
     }
 
     /// Takes back the count of a request that was not sent after all.
     pub fn give_back(&mut self) {
-        self.tokens = (self.tokens + 1.0).min(self.capacity());
+        self.next = self.next.saturating_sub(self.interval);
         self.sent = self.sent.saturating_sub(1);
     }
 
-    fn capacity(&self) -> f64 {
-        (self.rate * SAVED_TIME.as_secs_f64()).max(MIN_SAVED)
+    /// Returns the first turn that is neither used nor lost.
+    fn turn(&self, now: time::Duration) -> time::Duration {
+        let oldest = now.saturating_sub(SAVED_TIME);
+        let Some(lost) = oldest.checked_sub(self.next) else {
+            return self.next;
+        };
+        let turns = (lost.as_secs_f64() / self.interval.as_secs_f64()).ceil();
+        self.next + self.interval.mul_f64(turns)
     }
+}
 
-    fn tokens(&self, now: time::Duration) -> f64 {
-        let passed = now.saturating_sub(self.updated).as_secs_f64();
-        (self.tokens + self.rate * passed).min(self.capacity())
-    }
+fn interval(stated: unit::Rate, share: Share) -> time::Duration {
+    // The divisor is not zero.
+    let rate = stated.0.max(PROBE_RATE) * share.rate.clamp(MIN_SHARE, 1.0);
+    time::Duration::from_secs_f64(1.0 / rate).max(time::Duration::from_nanos(1))
 }
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -46,13 +46,16 @@
 /// Those of other domains send to it only when their own targets have no room.
 const NEAR_SHARE: f64 = 0.75;
 
-/// Numbers of entry hosts that send to the same targets.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+/// The entry hosts that send to the same targets.
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Hosts {
-    /// Hosts of this domain, this one included.
+    /// Number of hosts of this domain, this one included.
     pub near: usize,
-    /// Hosts of all domains, this one included.
+    /// Number of hosts of all domains, this one included.
     pub all: usize,
+    /// Random number of this host, from 0 to 1, that spreads its requests and those of other hosts
+    /// over time.
+    pub phase: f64,
 }
 
 impl Hosts {
@@ -315,7 +318,10 @@
     ) -> Option<limit::Change> {
         let keyed = self.keyed;
         let target = self.targets.get_mut(&number)?;
-        let share = hosts.share(keyed, target.facts.near);
+        let share = limit::Share {
+            rate: hosts.share(keyed, target.facts.near),
+            phase: hosts.phase,
+        };
         target.set_limit(stated, share, now)
     }
 
@@ -369,8 +375,10 @@
         let limits = self.waiting.values().map(|request| self.refuse_at(request));
         let denied = self.denied.values().map(|denial| denial.until);
         let paused = self.targets.values().map(|target| target.paused_until);
+        let limited = self.targets.values().filter_map(target::Target::limit);
+        let allowed = limited.map(|limit| limit.next_at(now));
         let waits = !self.waiting.is_empty();
-        let all = limits.chain(denied).chain(paused);
+        let all = limits.chain(denied).chain(paused).chain(allowed);
         all.filter(|at| waits && *at > now).min()
     }
 
@@ -389,8 +397,8 @@
             .collect();
         order.sort_unstable();
         let mut decisions = Vec::new();
-        // Owners that a more urgent request waits for.
-        let mut ahead: IndexSet<site::Number> = IndexSet::new();
+        // Number of more urgent requests that wait for each owner, and, without keys, for any target.
+        let mut ahead: IndexMap<Option<site::Number>, u32> = IndexMap::new();
         for (_, _, _, number) in order {
             let Some(request) = self.waiting.get(&number) else {
                 continue;
@@ -405,15 +413,19 @@
                     target,
                     token,
                 });
-            } else if self.refuse_at(request) <= now || self.cannot_be_served(request, &ahead) {
+            } else if self.refuse_at(request) <= now || self.cannot_be_served(request, &ahead, now)
+            {
                 let left = request.limit_at.saturating_sub(now);
                 self.waiting.shift_remove(&number);
                 decisions.push(Decision::Refuse {
                     number,
                     retry_after: left / RETURN_DIVISOR,
                 });
-            } else if let Some(owner) = self.owner_of(request) {
-                ahead.insert(owner.facts.number);
+            } else {
+                let owner = self.owner_of(request);
+                *ahead
+                    .entry(owner.map(|owner| owner.facts.number))
+                    .or_default() += 1;
             }
         }
         decisions
@@ -446,13 +458,37 @@
     /// Load patterns: a domain is cut off, and half of the keys have owners in other domains. Or
     /// one key gets ten times the requests that its owner can process: its slots are busy all the
     /// time, and each host has requests that wait for them. One waiting request per host is enough
-    /// to keep the slots busy; further ones would wait for nothing.
-    fn cannot_be_served(&self, request: &Request, ahead: &IndexSet<site::Number>) -> bool {
-        let Some(owner) = self.owner_of(request) else {
+    /// to keep the slots busy; further ones would wait for nothing. Or the owner of a key, or every
+    /// target of a service without keys, states a limit that allows this host no further request in
+    /// time.
+    fn cannot_be_served(
+        &self,
+        request: &Request,
+        ahead: &IndexMap<Option<site::Number>, u32>,
+        now: time::Duration,
+    ) -> bool {
+        let until = self.refuse_at(request);
+        let waiting = |owner| ahead.get(&owner).copied().unwrap_or(0);
+        if let Some(owner) = self.owner_of(request) {
+            let ahead = waiting(Some(owner.facts.number));
+            let full = owner.is_busy() && ahead > 0;
+            let limited = owner.turns(until, now).is_some_and(|turns| turns <= ahead);
+            return full || limited || owner.is_out_of_reach(until);
+        }
+        if self.keyed {
             return false;
-        };
-        let full = owner.is_busy() && ahead.contains(&owner.facts.number);
-        full || owner.is_out_of_reach(self.refuse_at(request))
+        }
+        let open = self
+            .targets
+            .values()
+            .filter(|target| target.facts.open && !request.tried.contains(&target.facts.number));
+        let turns = open.map(|target| target.turns(until, now));
+        // `None` if any target has no limit.
+        let turns: Option<Vec<u32>> = turns.collect();
+        turns.is_some_and(|turns| {
+            let all = turns.iter().copied().reduce(u32::saturating_add);
+            all.is_some_and(|all| all <= waiting(None))
+        })
     }
 
     /// Returns the target that owns a request's key.
@@ -552,10 +588,10 @@
         targets: impl Iterator<Item = &'a target::Target>,
         now: time::Duration,
     ) -> Option<site::Number> {
-        if self.targets.values().any(|target| target.is_usable(now)) {
+        if self.targets.values().any(|target| target.is_up(now)) {
             return None;
         }
-        let suspects = targets.filter(|target| target.is_suspect());
+        let suspects = targets.filter(|target| target.is_suspect() && target.limit_allows(now));
         let first = suspects.min_by_key(|target| target.paused_until);
         first.map(|target| target.facts.number)
     }
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -129,9 +129,25 @@
 
     /// Returns whether it may get a request.
     pub fn is_usable(&self, now: time::Duration) -> bool {
+        self.is_up(now) && self.limit_allows(now)
+    }
+
+    /// Returns whether it may get a request, apart from the limit that it states.
+    pub fn is_up(&self, now: time::Duration) -> bool {
         self.facts.open && now >= self.paused_until
     }
 
+    /// Returns whether the limit that it states, if any, allows this host a request.
+    pub fn limit_allows(&self, now: time::Duration) -> bool {
+        self.limit.is_none_or(|limit| limit.allows(now))
+    }
+
+    /// Returns the number of requests that the limit that it states allows this host until `until`,
+    /// or `None` without a limit.
+    pub fn turns(&self, until: time::Duration, now: time::Duration) -> Option<u32> {
+        self.limit.map(|limit| limit.turns(until, now))
+    }
+
     /// Returns the limit that it states, if any.
     pub fn limit(&self) -> Option<&limit::Limit> {
         self.limit.as_ref()
@@ -142,7 +158,7 @@
     pub fn set_limit(
         &mut self,
         stated: Option<unit::Rate>,
-        share: f64,
+        share: limit::Share,
         now: time::Duration,
     ) -> Option<limit::Change> {
         match (stated, &mut self.limit) {
@@ -221,9 +237,17 @@
         }
     }
 
-    /// Returns the measurement since the last call, for balancing keys.
+    /// Returns the measurement since the last call, for balancing keys. With a limit, the time for
+    /// which each request uses a slot includes the wait for the limit, so that keys move to targets
+    /// without one.
     pub fn take_measured(&mut self) -> Measurement {
-        std::mem::take(&mut self.measured)
+        let mut measured = std::mem::take(&mut self.measured);
+        if let Some(limit) = &self.limit {
+            let slots = self.facts.slots.max(1);
+            let limited = limit.all_interval() * slots * measured.count;
+            measured.time = measured.time.max(limited);
+        }
+        measured
     }
 
     /// Returns the measurement since the last call, for the other hosts of this domain.
