lane: keep unused turns of a stated limit for up to two seconds

A turn was lost after one second.

Change: the time depends on the number of hosts. In a window of 4 s the turns of 4 s and of the saved time are used; with random phases their number deviates by half the square root of the number of hosts at most. The saved time is what keeps the mean and three deviations within what targets tolerate: 2 s with 11 hosts; with 80, 0.9 s at 7.4/s and half a second at 2.5/s.

--- a/crates/yucca-lane/src/shared/limit.rs
+++ b/crates/yucca-lane/src/shared/limit.rs
@@ -13,8 +13,18 @@
 
 use yucca_wire::unit;
 
-/// Time for which an unused turn may still be used.
-const SAVED_TIME: time::Duration = time::Duration::from_secs(1);
+/// Maximum time for which an unused turn may still be used, in seconds. A target counts requests in
+/// windows of twice this time, and tolerates one and a half times its limit and [`EXTRA`] requests.
+const MAX_SAVED_TIME: f64 = 2.0;
+
+/// Minimum time for which an unused turn may still be used, in seconds.
+const MIN_SAVED_TIME: f64 = 0.5;
+
+/// Number of requests in a window that a target tolerates beyond that.
+const EXTRA: f64 = 5.0;
+
+/// Number of standard deviations by which the number of turns in a window may exceed its mean.
+const DEVIATIONS: f64 = 3.0;
 
 /// Rate at which all hosts together try a target whose limit is lower, to learn when it ends.
 const PROBE_RATE: f64 = 0.5;
@@ -47,6 +57,8 @@
     stated: unit::Rate,
     /// Time between turns of this host.
     interval: time::Duration,
+    /// Time for which an unused turn may still be used.
+    saved_time: time::Duration,
     /// The first turn that is not used; it may be lost.
     next: time::Duration,
     /// When the limit was first stated.
@@ -62,6 +74,7 @@
         Self {
             stated,
             interval,
+            saved_time: saved_time(stated, share),
             next: now + interval.mul_f64(share.phase.clamp(0.0, 1.0)),
             since: now,
             sent: 0,
@@ -74,6 +87,7 @@
         self.next = self.turn(now);
         self.stated = stated;
         self.interval = interval(stated, share);
+        self.saved_time = saved_time(stated, share);
         if let Some(left) = self.next.checked_sub(now) {
             // Keeps the phase.
             self.next = now + left.mul_f64(self.interval.as_secs_f64() / before.as_secs_f64());
@@ -133,7 +147,7 @@
 
     /// Returns the first turn that is neither used nor lost.
     fn turn(&self, now: time::Duration) -> time::Duration {
-        let oldest = now.saturating_sub(SAVED_TIME);
+        let oldest = now.saturating_sub(self.saved_time);
         let Some(lost) = oldest.checked_sub(self.next) else {
             return self.next;
         };
@@ -147,3 +161,16 @@
     let rate = stated.0.max(PROBE_RATE) * share.rate.clamp(MIN_SHARE, 1.0);
     time::Duration::from_secs_f64(1.0 / rate).max(time::Duration::from_nanos(1))
 }
+
+/// Returns the time for which an unused turn may still be used.
+///
+/// Load pattern: requests arrive at all hosts at once after these were idle. In a window the turns
+/// of its time and of the saved time are used. Phases are random, and with one host for each share
+/// their number has a standard deviation of half the square root of the number of hosts at most.
+fn saved_time(stated: unit::Rate, share: Share) -> time::Duration {
+    let hosts = 1.0 / share.rate.clamp(MIN_SHARE, 1.0);
+    let deviation = hosts.sqrt() / 2.0;
+    let excess = (DEVIATIONS * deviation - EXTRA).max(0.0);
+    let saved = MAX_SAVED_TIME - excess / stated.0.max(PROBE_RATE);
+    time::Duration::from_secs_f64(saved.max(MIN_SAVED_TIME))
+}
