entry: close a connection after a doubtful answer

After an answer to another request the connection went back to the pool before the answer was looked at, contrary to docs/PROOF.md. What follows on it may be behind by one answer, so each further request on it failed with 502, though the target ran it.

Change: an exchange hands the connection to its caller together with the answer, and the caller gives it back once the answer is known to be to its request.

--- a/crates/yucca-fleet/src/entry/exchange.rs
+++ b/crates/yucca-fleet/src/entry/exchange.rs
@@ -15,10 +15,21 @@
 /// whether the request ran.
 const NON_IDEMPOTENT_MAX_IDLE: time::Duration = time::Duration::from_millis(1_500);
 
+/// A complete answer.
+pub struct Answer {
+    /// Its head.
+    pub parts: response::Parts,
+    /// Its body.
+    pub body: Bytes,
+    /// The connection, unless the target closes it. The caller gives it back to the pool if the answer
+    /// can be trusted: after the answer to another request, what follows may be behind by one.
+    pub connection: Option<pool::Connection>,
+}
+
 /// Result of a request to a target.
 pub enum Exchange {
     /// A complete answer arrived.
-    Answer(response::Parts, Bytes),
+    Answer(Answer),
     /// The request is known not to have been sent, for this reason.
     NotSent(String),
     /// The request was sent or may have been, and no complete answer arrived, for this reason.
@@ -45,9 +56,9 @@
     };
     let mut request = outgoing.request;
     let address = outgoing.address;
-    while let Some(mut sender) = pool.take(address, within).await {
-        match sender.try_send_request(request).await {
-            Ok(answer) => return collect(pool, address, sender, answer).await,
+    while let Some(mut connection) = pool.take(address, within).await {
+        match connection.sender.try_send_request(request).await {
+            Ok(answer) => return collect(connection, answer).await,
             Err(mut error) => match error.take_message() {
                 // The connection had ended before anything was written.
                 Some(unsent) => request = unsent,
@@ -55,12 +66,12 @@
             },
         }
     }
-    let mut sender = match pool.open(address).await {
-        Ok(sender) => sender,
+    let mut connection = match pool.open(address).await {
+        Ok(connection) => connection,
         Err(reason) => return Exchange::NotSent(reason),
     };
-    match sender.try_send_request(request).await {
-        Ok(answer) => collect(pool, address, sender, answer).await,
+    match connection.sender.try_send_request(request).await {
+        Ok(answer) => collect(connection, answer).await,
         Err(mut error) => match error.take_message() {
             Some(_) => Exchange::NotSent(error.into_error().to_string()),
             None => Exchange::Lost(error.into_error().to_string()),
@@ -68,22 +79,19 @@
     }
 }
 
-async fn collect(
-    pool: &pool::Pool,
-    address: net::SocketAddr,
-    sender: pool::Sender,
-    answer: Response<body::Incoming>,
-) -> Exchange {
+async fn collect(mut connection: pool::Connection, answer: Response<body::Incoming>) -> Exchange {
     let (parts, body) = answer.into_parts();
-    match body.collect().await {
-        Ok(body) => {
-            if !closes(&parts.headers) {
-                pool.give_back(address, sender, keep_alive(&parts.headers));
-            }
-            Exchange::Answer(parts, body.to_bytes())
-        }
-        Err(error) => Exchange::Lost(format!("the answer broke off: {error}")),
-    }
+    let body = match body.collect().await {
+        Ok(body) => body.to_bytes(),
+        Err(error) => return Exchange::Lost(format!("the answer broke off: {error}")),
+    };
+    connection.idle_time = keep_alive(&parts.headers);
+    let kept = !closes(&parts.headers);
+    Exchange::Answer(Answer {
+        parts,
+        body,
+        connection: kept.then_some(connection),
+    })
 }
 
 fn closes(headers: &HeaderMap) -> bool {
--- a/crates/yucca-fleet/src/entry/pool.rs
+++ b/crates/yucca-fleet/src/entry/pool.rs
@@ -30,11 +30,17 @@
 /// Maximum time that a connection that was just given back needs to become usable.
 const READY_TIMEOUT: time::Duration = time::Duration::from_millis(2);
 
-/// Sender of requests on one connection.
-pub type Sender = http1::SendRequest<Full<Bytes>>;
+/// A connection to a target that runs no request.
+pub struct Connection {
+    address: net::SocketAddr,
+    /// Sender of requests.
+    pub sender: http1::SendRequest<Full<Bytes>>,
+    /// Time for which the target keeps it open while it is idle, if its last answer said so.
+    pub idle_time: Option<time::Duration>,
+}
 
 struct Idle {
-    sender: Sender,
+    connection: Connection,
     since: Instant,
     until: Instant,
 }
@@ -47,33 +53,37 @@
 
 impl Pool {
     /// Returns an idle connection that was last used at most `within` ago, if there is one.
-    pub async fn take(&self, address: net::SocketAddr, within: time::Duration) -> Option<Sender> {
+    pub async fn take(
+        &self,
+        address: net::SocketAddr,
+        within: time::Duration,
+    ) -> Option<Connection> {
         loop {
-            let mut sender = self.pop(address, within)?;
-            let ready = tokio::time::timeout(READY_TIMEOUT, sender.ready()).await;
+            let mut connection = self.pop(address, within)?;
+            let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                return Some(sender);
+                return Some(connection);
             }
         }
     }
 
-    fn pop(&self, address: net::SocketAddr, within: time::Duration) -> Option<Sender> {
+    fn pop(&self, address: net::SocketAddr, within: time::Duration) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
-        connections.retain(|idle| idle.until > now && !idle.sender.is_closed());
+        connections.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
         let last = connections.last()?;
         if now.duration_since(last.since) > within {
             return None;
         }
-        connections.pop().map(|idle| idle.sender)
+        connections.pop().map(|idle| idle.connection)
     }
 
     /// Opens a connection.
     ///
     /// # Errors
     /// Fails if no connection is established in time. Nothing was sent then.
-    pub async fn open(&self, address: net::SocketAddr) -> Result<Sender, String> {
+    pub async fn open(&self, address: net::SocketAddr) -> Result<Connection, String> {
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connected
             .map_err(|_| "no connection in time".to_owned())?
@@ -89,29 +99,28 @@
                 log::debug!("connection to {address} ended: {error}");
             }
         });
-        Ok(sender)
+        Ok(Connection {
+            address,
+            sender,
+            idle_time: None,
+        })
     }
 
-    /// Stores a connection for further requests. `keep` is the idle time that the target named, if
-    /// any.
-    pub fn give_back(
-        &self,
-        address: net::SocketAddr,
-        sender: Sender,
-        keep: Option<time::Duration>,
-    ) {
-        let keep = keep
+    /// Stores a connection for further requests.
+    pub fn give_back(&self, connection: Connection) {
+        let keep = connection
+            .idle_time
             .unwrap_or(DEFAULT_IDLE_TIME)
             .saturating_sub(IDLE_TIME_MARGIN);
-        if sender.is_closed() || keep.is_zero() {
+        if connection.sender.is_closed() || keep.is_zero() {
             return;
         }
         let mut idle = lock(&self.idle);
-        let connections = idle.entry(address).or_default();
+        let connections = idle.entry(connection.address).or_default();
         if connections.len() < MAX_IDLE {
             let now = Instant::now();
             connections.push(Idle {
-                sender,
+                connection,
                 since: now,
                 until: now + keep,
             });
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -323,9 +323,19 @@
                 flight.outcome = service::Outcome::Failed;
                 Attempt::Unknown
             }
-            Ok(exchange::Exchange::Answer(parts, body)) => {
+            Ok(exchange::Exchange::Answer(answer)) => {
+                let exchange::Answer {
+                    parts,
+                    body,
+                    connection,
+                } = answer;
                 history.sent += 1;
                 let verdict = self.target.classify(&parts, &job.head.id, &target.name);
+                if let Some(connection) = connection
+                    && verdict != target::Verdict::Untrusted
+                {
+                    self.pool.give_back(connection);
+                }
                 history.record(&target.name, history::describe(verdict));
                 let took = self.clock.now().saturating_sub(start);
                 self.record_limit(job, number, &target.name, &parts, verdict);
