entry: don't repeat a request on a connection on which it was refused

A target that refuses a request may write the refusal once more when the request is sent again: the same id, so it passes for the answer to the second attempt. The caller is told that the request did not run while the target runs it.

Cause: an attempt is identified by the id of its request, and further attempts of a request could use the connection of a refused one. Keys make that common: they have one owner, which is asked again after a pause.

Change: a connection keeps the ids that were refused on it, and such a request takes another one; after four refusals it is closed. Closing after each refusal would do too, but costs a connection for each request that a busy target sheds.

Evidence: the test's target refuses a read and repeats the refusal before the answer to its second attempt. Before the change the first read was answered 503 and ran twice; now all reads are answered once they are accepted.

--- a/crates/yucca-fleet/src/entry/exchange.rs
+++ b/crates/yucca-fleet/src/entry/exchange.rs
@@ -37,7 +37,9 @@
 }
 
 /// Request to send.
-pub struct Outgoing {
+pub struct Outgoing<'a> {
+    /// Id of the request.
+    pub id: &'a Bytes,
     /// The address of the target.
     pub address: net::SocketAddr,
     /// The request.
@@ -48,7 +50,7 @@
 
 /// Sends a request and waits for the complete answer. If the future is dropped, the connection is
 /// closed, which stops the work at the target.
-pub async fn run(pool: &pool::Pool, outgoing: Outgoing) -> Exchange {
+pub async fn run(pool: &pool::Pool, outgoing: Outgoing<'_>) -> Exchange {
     let within = if outgoing.idempotent {
         time::Duration::MAX
     } else {
@@ -56,7 +58,7 @@
     };
     let mut request = outgoing.request;
     let address = outgoing.address;
-    while let Some(mut connection) = pool.take(address, within).await {
+    while let Some(mut connection) = pool.take(address, within, outgoing.id).await {
         match connection.sender.try_send_request(request).await {
             Ok(answer) => return collect(connection, answer).await,
             Err(mut error) => match error.take_message() {
--- a/crates/yucca-fleet/src/entry/pool.rs
+++ b/crates/yucca-fleet/src/entry/pool.rs
@@ -30,6 +30,9 @@
 /// Maximum time that a connection that was just given back needs to become usable.
 const READY_TIMEOUT: time::Duration = time::Duration::from_millis(2);
 
+/// Maximum number of refusals on one connection, after which it is closed.
+const MAX_REFUSALS: usize = 4;
+
 /// A connection to a target that runs no request.
 pub struct Connection {
     address: net::SocketAddr,
@@ -37,6 +40,16 @@
     pub sender: http1::SendRequest<Full<Bytes>>,
     /// Time for which the target keeps it open while it is idle, if its last answer said so.
     pub idle_time: Option<time::Duration>,
+    /// Ids of requests that were refused on it. They are not sent on it again: a faulty target may
+    /// repeat a refusal, which would pass for the answer to the next attempt.
+    refused: Vec<Bytes>,
+}
+
+impl Connection {
+    /// Records that the target refused the request `id`.
+    pub fn record_refusal(&mut self, id: &Bytes) {
+        self.refused.push(id.clone());
+    }
 }
 
 struct Idle {
@@ -52,14 +65,16 @@
 }
 
 impl Pool {
-    /// Returns an idle connection that was last used at most `within` ago, if there is one.
+    /// Returns an idle connection for the request `id` that was last used at most `within` ago, if
+    /// there is one.
     pub async fn take(
         &self,
         address: net::SocketAddr,
         within: time::Duration,
+        id: &Bytes,
     ) -> Option<Connection> {
         loop {
-            let mut connection = self.pop(address, within)?;
+            let mut connection = self.pop(address, within, id)?;
             let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
                 return Some(connection);
@@ -67,16 +82,22 @@
         }
     }
 
-    fn pop(&self, address: net::SocketAddr, within: time::Duration) -> Option<Connection> {
+    fn pop(
+        &self,
+        address: net::SocketAddr,
+        within: time::Duration,
+        id: &Bytes,
+    ) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
         connections.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
-        let last = connections.last()?;
-        if now.duration_since(last.since) > within {
+        let usable = |idle: &Idle| !idle.connection.refused.contains(id);
+        let last = connections.iter().rposition(usable)?;
+        if now.duration_since(connections[last].since) > within {
             return None;
         }
-        connections.pop().map(|idle| idle.connection)
+        Some(connections.remove(last).connection)
     }
 
     /// Opens a connection.
@@ -103,6 +124,7 @@
             address,
             sender,
             idle_time: None,
+            refused: Vec::new(),
         })
     }
 
@@ -112,7 +134,8 @@
             .idle_time
             .unwrap_or(DEFAULT_IDLE_TIME)
             .saturating_sub(IDLE_TIME_MARGIN);
-        if connection.sender.is_closed() || keep.is_zero() {
+        let worn = connection.refused.len() >= MAX_REFUSALS;
+        if connection.sender.is_closed() || keep.is_zero() || worn {
             return;
         }
         let mut idle = lock(&self.idle);
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -13,7 +13,7 @@
 use yucca_own::site::{item, range, target as site};
 
 use crate::dialect::{caller, target};
-use crate::entry::{Core, exchange, history, view};
+use crate::entry::{Core, exchange, history, pool, view};
 use crate::mutex::lock;
 use crate::server;
 
@@ -300,6 +300,7 @@
         };
         let left = job.limit_at.saturating_sub(start);
         let outgoing = exchange::Outgoing {
+            id: &job.head.id,
             address: target.address,
             request: self.outgoing(job, &target, left),
             idempotent: job.route.route.idempotent,
@@ -331,11 +332,7 @@
                 } = answer;
                 history.sent += 1;
                 let verdict = self.target.classify(&parts, &job.head.id, &target.name);
-                if let Some(connection) = connection
-                    && verdict != target::Verdict::Untrusted
-                {
-                    self.pool.give_back(connection);
-                }
+                self.keep(connection, verdict, &job.head.id);
                 history.record(&target.name, history::describe(verdict));
                 let took = self.clock.now().saturating_sub(start);
                 self.record_limit(job, number, &target.name, &parts, verdict);
@@ -357,6 +354,22 @@
         }
     }
 
+    /// Gives a connection back to the pool after the answer to the request `id`, unless it can't be
+    /// trusted.
+    fn keep(&self, connection: Option<pool::Connection>, verdict: target::Verdict, id: &Bytes) {
+        let Some(mut connection) = connection else {
+            return;
+        };
+        match verdict {
+            target::Verdict::Answer | target::Verdict::Failure => {}
+            target::Verdict::Shed | target::Verdict::NotOwner | target::Verdict::WrongTarget => {
+                connection.record_refusal(id);
+            }
+            target::Verdict::Untrusted => return,
+        }
+        self.pool.give_back(connection);
+    }
+
     /// Applies the limit that a target states in an answer. An answer to the request without one ends
     /// it; a refusal may come from a part of the target that states nothing.
     fn record_limit(
