entry: bound the size of a target's answer

A faulty target may write without end, until the caller closes. A body without a length, or of endless chunks, was collected until the deadline: the test's target wrote 319 MB in a second and a half, more than an entry host has. Heads without end were bounded before, by the HTTP library.

Change: an answer of more than 4 MiB is given up, and its connection is closed. Frames are copied together as they arrive; frames of a few bytes take many times their size.

Evidence: five endless answers, in the status line, the head, the body, its chunks and after the body.

--- a/crates/yucca-fleet/src/entry/exchange.rs
+++ b/crates/yucca-fleet/src/entry/exchange.rs
@@ -3,7 +3,7 @@
 use std::net;
 use std::time;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, header, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body;
@@ -15,6 +15,9 @@
 /// whether the request ran.
 const NON_IDEMPOTENT_MAX_IDLE: time::Duration = time::Duration::from_millis(1_500);
 
+/// Maximum size of the body of an answer, in bytes. A faulty target may write without end.
+const MAX_BODY_BYTES: usize = 4 << 20;
+
 /// A complete answer.
 pub struct Answer {
     /// Its head.
@@ -83,9 +86,9 @@
 
 async fn collect(mut connection: pool::Connection, answer: Response<body::Incoming>) -> Exchange {
     let (parts, body) = answer.into_parts();
-    let body = match body.collect().await {
-        Ok(body) => body.to_bytes(),
-        Err(error) => return Exchange::Lost(format!("the answer broke off: {error}")),
+    let body = match read(body).await {
+        Ok(body) => body,
+        Err(reason) => return Exchange::Lost(reason),
     };
     connection.idle_time = keep_alive(&parts.headers);
     let kept = !closes(&parts.headers);
@@ -96,6 +99,22 @@
     })
 }
 
+/// Reads a body. It is copied, because frames of few bytes take many times their size.
+async fn read(mut body: body::Incoming) -> Result<Bytes, String> {
+    let mut bytes = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| format!("the answer broke off: {error}"))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if bytes.len() + data.len() > MAX_BODY_BYTES {
+            return Err(format!("the answer exceeds {MAX_BODY_BYTES} bytes"));
+        }
+        bytes.extend_from_slice(&data);
+    }
+    Ok(bytes.freeze())
+}
+
 fn closes(headers: &HeaderMap) -> bool {
     let value = headers.get(header::CONNECTION);
     value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
