--- a/crates/yucca-fleet/src/entry/pool.rs
+++ b/crates/yucca-fleet/src/entry/pool.rs
@@ -30,11 +30,30 @@
 /// Maximum time that a connection that was just given back needs to become usable.
 const READY_TIMEOUT: time::Duration = time::Duration::from_millis(2);
 
-/// Sender of requests on one connection.
-pub type Sender = http1::SendRequest<Full<Bytes>>;
+/// Maximum number of refusals on one connection, after which it is closed.
+const MAX_REFUSALS: usize = 4;
+
+/// A connection to a target that runs no request.
+pub struct Connection {
+    address: net::SocketAddr,
+    /// Sender of requests.
+    pub sender: http1::SendRequest<Full<Bytes>>,
+    /// Time for which the target keeps it open while it is idle, if its last answer said so.
+    pub idle_time: Option<time::Duration>,
+    /// Ids of requests that were refused on it. They are not sent on it again: a faulty target may
+    /// repeat a refusal, which would pass for the answer to the next attempt.
+    refused: Vec<Bytes>,
+}
+
+impl Connection {
+    /// Records that the target refused the request `id`.
+    pub fn record_refusal(&mut self, id: &Bytes) {
+        self.refused.push(id.clone());
+    }
+}
 
 struct Idle {
-    sender: Sender,
+    connection: Connection,
     since: Instant,
     until: Instant,
 }
@@ -46,34 +65,46 @@
 }
 
 impl Pool {
-    /// Returns an idle connection that was last used at most `within` ago, if there is one.
-    pub async fn take(&self, address: net::SocketAddr, within: time::Duration) -> Option<Sender> {
+    /// Returns an idle connection for the request `id` that was last used at most `within` ago, if
+    /// there is one.
+    pub async fn take(
+        &self,
+        address: net::SocketAddr,
+        within: time::Duration,
+        id: &Bytes,
+    ) -> Option<Connection> {
         loop {
-            let mut sender = self.pop(address, within)?;
-            let ready = tokio::time::timeout(READY_TIMEOUT, sender.ready()).await;
+            let mut connection = self.pop(address, within, id)?;
+            let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                return Some(sender);
+                return Some(connection);
             }
         }
     }
 
-    fn pop(&self, address: net::SocketAddr, within: time::Duration) -> Option<Sender> {
+    fn pop(
+        &self,
+        address: net::SocketAddr,
+        within: time::Duration,
+        id: &Bytes,
+    ) -> Option<Connection> {
         let mut idle = lock(&self.idle);
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
-        connections.retain(|idle| idle.until > now && !idle.sender.is_closed());
-        let last = connections.last()?;
-        if now.duration_since(last.since) > within {
+        connections.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+        let usable = |idle: &Idle| !idle.connection.refused.contains(id);
+        let last = connections.iter().rposition(usable)?;
+        if now.duration_since(connections[last].since) > within {
             return None;
         }
-        connections.pop().map(|idle| idle.sender)
+        Some(connections.remove(last).connection)
     }
 
     /// Opens a connection.
     ///
     /// # Errors
     /// Fails if no connection is established in time. Nothing was sent then.
-    pub async fn open(&self, address: net::SocketAddr) -> Result<Sender, String> {
+    pub async fn open(&self, address: net::SocketAddr) -> Result<Connection, String> {
         let connected = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = connected
             .map_err(|_| "no connection in time".to_owned())?
@@ -89,29 +120,30 @@
                 log::debug!("connection to {address} ended: {error}");
             }
         });
-        Ok(sender)
+        Ok(Connection {
+            address,
+            sender,
+            idle_time: None,
+            refused: Vec::new(),
+        })
     }
 
-    /// Stores a connection for further requests. `keep` is the idle time that the target named, if
-    /// any.
-    pub fn give_back(
-        &self,
-        address: net::SocketAddr,
-        sender: Sender,
-        keep: Option<time::Duration>,
-    ) {
-        let keep = keep
+    /// Stores a connection for further requests.
+    pub fn give_back(&self, connection: Connection) {
+        let keep = connection
+            .idle_time
             .unwrap_or(DEFAULT_IDLE_TIME)
             .saturating_sub(IDLE_TIME_MARGIN);
-        if sender.is_closed() || keep.is_zero() {
+        let worn = connection.refused.len() >= MAX_REFUSALS;
+        if connection.sender.is_closed() || keep.is_zero() || worn {
             return;
         }
         let mut idle = lock(&self.idle);
-        let connections = idle.entry(address).or_default();
+        let connections = idle.entry(connection.address).or_default();
         if connections.len() < MAX_IDLE {
             let now = Instant::now();
             connections.push(Idle {
-                sender,
+                connection,
                 since: now,
                 until: now + keep,
             });
