--- a/crates/yucca-fleet/src/entry/exchange.rs
+++ b/crates/yucca-fleet/src/entry/exchange.rs
@@ -32,7 +32,7 @@
 /// Result of a request to a target.
 pub enum Exchange {
     /// A complete answer arrived.
-    Answer(Answer),
+    Answer(Box<Answer>),
     /// The request is known not to have been sent, for this reason.
     NotSent(String),
     /// The request was sent or may have been, and no complete answer arrived, for this reason.
@@ -92,11 +92,11 @@
     };
     connection.idle_time = keep_alive(&parts.headers);
     let kept = !closes(&parts.headers);
-    Exchange::Answer(Answer {
+    Exchange::Answer(Box::new(Answer {
         parts,
         body,
         connection: kept.then_some(connection),
-    })
+    }))
 }
 
 /// Reads a body. It is copied, because frames of few bytes take many times their size.
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -329,7 +329,7 @@
                     parts,
                     body,
                     connection,
-                } = answer;
+                } = *answer;
                 history.sent += 1;
                 let verdict = self.target.classify(&parts, &job.head.id, &target.name);
                 self.keep(connection, verdict, &job.head.id);
