control: hand out no state until it has been current once

Change: until the state has contained all that is committed, once since the start, notices name version 0 and pulls are answered without changes. An answer is needed: without one the entry host waits 2 s before it asks another host. The messages are unchanged.

--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -10,6 +10,7 @@
 
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use arc_swap::ArcSwap;
@@ -61,6 +62,9 @@
     dialect: Box<dyn operator::Operator>,
     clock: clock::Clock,
     replica: replica::Replica,
+    /// Whether the state has contained all that was committed at some time since the start. Until
+    /// then it may be older than what entry hosts have had before.
+    caught_up: atomic::AtomicBool,
     machine: sync::Arc<sync::Mutex<machine::Site>>,
     /// The leases, with the term in which this host grants them as the leader.
     leases: sync::Mutex<Option<(u64, lease::Registry)>>,
@@ -131,6 +135,7 @@
             dialect,
             clock: clock::Clock::default(),
             replica: replica::Replica::start(parts).map_err(Error::Storage)?,
+            caught_up: atomic::AtomicBool::new(false),
             machine,
             leases: sync::Mutex::default(),
             peers: sync::Mutex::default(),
--- a/crates/yucca-fleet/src/control/peer.rs
+++ b/crates/yucca-fleet/src/control/peer.rs
@@ -3,12 +3,13 @@
 use std::collections::BTreeSet;
 use std::net;
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
-use yucca_control::directory;
-use yucca_own::site::{item, range};
+use yucca_control::{directory, replica};
+use yucca_own::site::{delta, item, range};
 use yucca_wire::id;
 
 use crate::control::Core;
@@ -148,7 +149,16 @@
     }
 
     fn answer_pull(&self, id: link::Id, have: id::Version) {
-        let delta = lock(&self.machine).state.delta(have);
+        let delta = if self.has_caught_up() {
+            lock(&self.machine).state.delta(have)
+        } else {
+            // Without changes. The peer may then ask another host at once.
+            delta::Delta {
+                from: have,
+                to: have,
+                ..delta::Delta::default()
+            }
+        };
         if let Some(peer) = lock(&self.peers).get(&id) {
             // If the delta is lost, the peer requests it again while it lacks a version that it
             // knows of.
@@ -233,15 +243,37 @@
         }
     }
 
+    /// Returns the newest version, or version 0 while entry hosts must not get the state.
     fn notice(&self) -> message::Notice {
         let status = self.replica.status();
         let leader = status.leader.as_ref();
+        let version = lock(&self.machine).state.version;
         message::Notice {
-            version: lock(&self.machine).state.version,
+            version: if self.has_caught_up() {
+                version
+            } else {
+                id::Version::default()
+            },
             leader: leader.and_then(|host| host.as_str().parse().ok()),
-            current: status.member && status.commit_current && status.applied >= status.commit,
+            current: is_current(&status),
         }
     }
+
+    fn has_caught_up(&self) -> bool {
+        let known = self.caught_up.load(atomic::Ordering::Relaxed);
+        if known || !is_current(&self.replica.status()) {
+            return known;
+        }
+        let version = lock(&self.machine).state.version;
+        log::info!("log=site version={version} is current; entry hosts get the state from here");
+        self.caught_up.store(true, atomic::Ordering::Relaxed);
+        true
+    }
+}
+
+/// Returns whether the state contains all that is known to be committed.
+fn is_current(status: &replica::Status) -> bool {
+    status.member && status.commit_current && status.applied >= status.commit
 }
 
 fn entries_by_domain<'a>(
