--- a/crates/yucca-fleet/src/entry/pool.rs
+++ b/crates/yucca-fleet/src/entry/pool.rs
@@ -134,8 +134,8 @@
             .idle_time
             .unwrap_or(DEFAULT_IDLE_TIME)
             .saturating_sub(IDLE_TIME_MARGIN);
-        let worn = connection.refused.len() >= MAX_REFUSALS;
-        if connection.sender.is_closed() || keep.is_zero() || worn {
+        let refused_often = connection.refused.len() >= MAX_REFUSALS;
+        if connection.sender.is_closed() || keep.is_zero() || refused_often {
             return;
         }
         let mut idle = lock(&self.idle);
--- a/crates/yucca-log/src/membership/spread.rs
+++ b/crates/yucca-log/src/membership/spread.rs
@@ -39,9 +39,10 @@
 /// Returns the membership change that a leader should make next, or `None` if the rule is met.
 ///
 /// `statuses` contains each replica that the leader knows of, itself included; a member that is
-/// missing counts as dead. Load pattern: one loss after another, each as soon as the rule is met
-/// again or at any moment of a planned replacement, and silences of hosts that are not lost. Call this function again once the change is
-/// committed.
+/// missing counts as dead. Call this function again once the change is committed.
+///
+/// Load pattern: one loss after another, each as soon as the rule is met again or at any moment of a
+/// planned replacement, and silences of hosts that are not lost.
 pub fn next_change(members: &Members, leader: &Replica, statuses: &[Status]) -> Option<Change> {
     let view = View {
         members,
