Test: unlucky phases exceed a stated limit with 80 hosts, known red

Cause: phases are random, and three standard deviations are not always enough; the minimum of the saved time leaves 2.8 to 2.9.

--- a/crates/yucca-lane/tests/stated_limits.rs
+++ b/crates/yucca-lane/tests/stated_limits.rs
@@ -318,3 +318,36 @@
     let mean = time::Duration::from_micros(micros / u64::from(count));
     assert!(mean.abs_diff(expected) < ms(10), "{mean:?}");
 }
+
+/// When the requests arrive.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Load {
+    /// All the time.
+    Steady,
+    /// At all hosts at once, after these were idle.
+    Sudden,
+}
+
+/// With many hosts and a low limit, random phases may put too many turns into one window.
+#[test_case(Load::Sudden, 2.5, 250)]
+#[test_case(Load::Sudden, 2.5, 317)]
+#[test_case(Load::Sudden, 2.5, 521)]
+#[test_case(Load::Sudden, 7.4, 659)]
+#[test_case(Load::Steady, 2.5, 560)]
+#[test_case(Load::Steady, 2.5, 664)]
+fn unlucky_phases_of_many_hosts_stay_within_a_limit(load: Load, limit: f64, seed: u64) {
+    let hosts = 80;
+    let mut fleet = Fleet::new(hosts, true, limit, seed);
+    match load {
+        Load::Steady => fleet.run(ms(30_000), (limit * 10.0).max(hosts as f64)),
+        Load::Sudden => {
+            for host in 0..hosts {
+                fleet.arrive(host);
+            }
+            fleet.run(ms(12_000), 0.0);
+            fleet.run(ms(10_000), hosts as f64 * 20.0);
+        }
+    }
+    let (peak, allowed) = (fleet.peak(), allowed(limit));
+    assert!(peak <= allowed, "{peak} requests, allowed {allowed}");
+}
