Test: two control hosts exchanged, with a disruption at each moment

The tests so far replaced one host and then lost another.

- replaced_voters: a second exchange (of the leader or a follower) that is disrupted at 100 moments: all processes end, the leader is paused or ends, the joining host is paused, all are cut off.
Then all processes end and one host loses its records.
Also exchanges by plan in a row, 0 to 1.5 s apart.

--- a/crates/yucca-log/tests/replaced_voters.rs
+++ b/crates/yucca-log/tests/replaced_voters.rs
@@ -194,6 +194,154 @@
     }
 }
 
+/// What happens at some moment of an exchange, in which no records are lost.
+#[derive(Debug, Clone, Copy)]
+enum Disruption {
+    /// All processes end and start again a second later.
+    AllEnd,
+    /// The leader is paused for two seconds.
+    LeaderPaused,
+    /// The leader's process ends and starts again a second later.
+    LeaderEnds,
+    /// The host that joins is paused for two seconds.
+    JoinerPaused,
+    /// No two hosts reach each other for two seconds.
+    AllCut,
+}
+
+/// Time from the loss of a host until another joins in its place.
+const JOIN_DELAY: Duration = Duration::from_secs(1);
+
+/// Time from a disruption until all hosts are back.
+const DISRUPTED: Duration = Duration::from_secs(2);
+
+fn disrupt(net: &mut Net, disruption: Disruption, joiner: &id::Host) {
+    let leader = net.leader();
+    let leader = leader.as_ref().unwrap_or(joiner);
+    let running = |net: &Net| -> Vec<id::Host> {
+        let hosts = net.hosts.iter().filter(|(_, host)| host.node.is_some());
+        hosts.map(|(name, _)| name.clone()).collect()
+    };
+    match disruption {
+        Disruption::AllEnd | Disruption::LeaderEnds => {
+            let ended = match disruption {
+                Disruption::AllEnd => running(net),
+                _ => vec![leader.clone()],
+            };
+            ended.iter().for_each(|name| net.crash(name));
+            run(net, DISRUPTED / 2);
+            ended.iter().for_each(|name| net.start(name));
+            run(net, DISRUPTED / 2);
+        }
+        Disruption::LeaderPaused | Disruption::JoinerPaused => {
+            let paused = match disruption {
+                Disruption::LeaderPaused => leader,
+                _ => joiner,
+            };
+            net.pause(paused);
+            run(net, DISRUPTED);
+            net.resume(paused);
+        }
+        Disruption::AllCut => {
+            running(net).iter().for_each(|name| net.isolate(name));
+            run(net, DISRUPTED);
+            net.heal();
+        }
+    }
+}
+
+/// Ends a host for good: its process and its records are gone.
+fn lose(net: &mut Net, name: &id::Host) {
+    wipe(net, name);
+    net.hosts[name].left = true;
+}
+
+/// Two hosts are exchanged one after the other, and something else happens at any moment of the
+/// second exchange. The log has a leader again once all are back, and then tolerates the loss of
+/// the records of another host together with the end of all processes.
+#[test_case(Disruption::AllEnd, 0; "all processes end, the leader is exchanged")]
+#[test_case(Disruption::AllEnd, 1; "all processes end, a follower is exchanged")]
+#[test_case(Disruption::LeaderPaused, 1; "the leader is paused")]
+#[test_case(Disruption::LeaderEnds, 1; "the leader ends")]
+#[test_case(Disruption::JoinerPaused, 0; "the joining host is paused, the leader is exchanged")]
+#[test_case(Disruption::JoinerPaused, 1; "the joining host is paused, a follower is exchanged")]
+#[test_case(Disruption::AllCut, 0; "all are cut off, the leader is exchanged")]
+fn a_disrupted_second_exchange_leaves_a_quorum(disruption: Disruption, which: usize) {
+    for number in 0..100 {
+        let moment = millis(600 + number * 20);
+        let mut net = started(number);
+        net.state_bytes = 200_000;
+        let first = pick(&mut net, 1);
+        lose(&mut net, &first);
+        run(&mut net, JOIN_DELAY);
+        join(&mut net, "d");
+        run(&mut net, NEXT_LOSS);
+        let second = pick(&mut net, which);
+        lose(&mut net, &second);
+        run(&mut net, moment.min(JOIN_DELAY));
+        if moment < JOIN_DELAY {
+            disrupt(&mut net, disruption, &host("d"));
+            join(&mut net, "e");
+        } else {
+            join(&mut net, "e");
+            run(&mut net, moment - JOIN_DELAY);
+            disrupt(&mut net, disruption, &host("e"));
+        }
+        run(&mut net, NEXT_LOSS);
+        assert_three_running_voters(&net);
+        let wiped = pick(&mut net, number as usize % 3);
+        let hosts = members(&net);
+        let hosts: Vec<id::Host> = hosts.voters().iter().map(|v| v.host.clone()).collect();
+        for name in &hosts {
+            if *name == wiped {
+                wipe(&mut net, name);
+            } else {
+                net.crash(name);
+            }
+        }
+        run(&mut net, millis(1_000));
+        hosts.iter().for_each(|name| net.start(name));
+        run(&mut net, NEXT_LOSS);
+        net.commit("after the dark");
+        assert_three_running_voters(&net);
+        for (version, entry) in &net.acknowledged {
+            assert_eq!(&net.history[version].0, entry, "{version} was lost");
+        }
+    }
+}
+
+/// A host joins and, while its records are on their way, another stops by plan; then it is repeated
+/// with the next, faster than a silent voter is noticed.
+#[test]
+fn exchanges_by_plan_in_a_row_leave_a_quorum() {
+    for moment in (0..1_500).step_by(25) {
+        let mut net = started(moment);
+        net.state_bytes = 200_000;
+        for name in ["d", "e"] {
+            join(&mut net, name);
+            run(&mut net, millis(moment));
+            let stopping = pick(&mut net, moment as usize / 25 % 3);
+            let until = net.now + STOP_TIMEOUT;
+            while net.now < until && !net.hosts[&stopping].left {
+                let leads = net.node(&stopping).role() == node::Role::Leader;
+                let input = if leads {
+                    node::Input::Transfer { to: None }
+                } else {
+                    node::Input::Leave
+                };
+                net.input(&stopping, input);
+                run(&mut net, INTERVAL);
+            }
+            lose(&mut net, &stopping);
+        }
+        run(&mut net, NEXT_LOSS);
+        assert_three_running_voters(&net);
+        let leader = pick(&mut net, 0);
+        wipe(&mut net, &leader);
+        net.commit("after the loss");
+    }
+}
+
 /// A voter is silent for seconds while a learner is ready, and returns with its records.
 #[test_case(false; "paused")]
 #[test_case(true; "cut off")]
--- a/crates/yucca-spec/tests/spread_search.rs
+++ b/crates/yucca-spec/tests/spread_search.rs
@@ -20,6 +20,7 @@
 #[test_case(1, 1, 1; "a planned replacement")]
 #[test_case(2, 2, 0; "two replacements without notice")]
 #[test_case(2, 1, 1; "a planned replacement with a spare host")]
+#[test_case(2, 1, 2; "two planned replacements and a loss")]
 fn losses_in_a_row_violate_no_invariant(spares: usize, losses: u8, stops: u8) {
     let outcome = search::run(&setup(spares, losses, stops));
     println!(
