control: do not acknowledge a superseded route in the place of another

Known by reading only until now.

Cause: a route whose revision is not higher than the stored one has no effect, so its host and prefix are not compared with those of other routes. An invalid change that a valid one of the same route overtakes was acknowledged, and its other items came into force.

Change: the leader compares such routes with the active ones before it proposes a change, and again after it is applied. It can't tell an invalid change from one that was accepted while the place was free, which must not be refused, so it answers 503 with the reason and proposes nothing. Two routes in one place within a call are refused before they are proposed; revisions of the same route in that call count once.

Both checks are made by the host that takes the call, not when an entry is applied, so control hosts of two builds can't differ, and no message or record changes. If the change is overtaken between the first check and its entry, its other items still come into force; it is then not acknowledged.

--- a/crates/yucca-fleet/src/control/call.rs
+++ b/crates/yucca-fleet/src/control/call.rs
@@ -129,19 +129,46 @@
             .iter()
             .map(|item| format!("{}@{}", item.key, item.revision))
             .collect();
-        let outcome = self.propose(&site::Command::Change(patch)).await?;
-        match outcome {
-            site::Outcome::Refused(faults) => {
-                log::warn!("change refused: items=[{}] {faults:?}", items.join(", "));
-                Ok(operator::Answer::Refused(faults))
-            }
+        let items = items.join(", ");
+        let faults = patch.faults();
+        if !faults.is_empty() {
+            return Ok(refuse_change(&items, faults));
+        }
+        self.check_conflicts(&patch, &items)?;
+        let command = site::Command::Change(patch.clone());
+        match self.propose(&command).await? {
+            site::Outcome::Refused(faults) => Ok(refuse_change(&items, faults)),
             _ => {
-                log::info!("change accepted: items=[{}]", items.join(", "));
+                // Another change may have superseded a part of this one meanwhile.
+                self.check_conflicts(&patch, &items)?;
+                log::info!("change accepted: items=[{items}]");
                 Ok(operator::Answer::Done)
             }
         }
     }
 
+    /// Refuses to say whether a change is accepted if that can't be told: one of its routes is
+    /// superseded, and another route has its place.
+    fn check_conflicts(
+        &self,
+        patch: &site::item::Patch,
+        items: &str,
+    ) -> Result<(), message::Refusal> {
+        let conflicts = lock(&self.machine).state.items.conflicts(patch);
+        if conflicts.is_empty() {
+            return Ok(());
+        }
+        let conflicts: Vec<String> = conflicts.iter().map(ToString::to_string).collect();
+        let conflicts = conflicts.join("; ");
+        log::warn!(
+            "change of superseded items neither accepted nor refused: items=[{items}] {conflicts}"
+        );
+        Err(message::Refusal::Unavailable(format!(
+            "a newer revision is stored, and it is unknown whether this one was accepted before: \
+             {conflicts}; send a higher revision"
+        )))
+    }
+
     async fn leave(
         &self,
         name: site::item::Name,
@@ -234,6 +261,11 @@
     }
 }
 
+fn refuse_change(items: &str, faults: Vec<site::item::Fault>) -> operator::Answer {
+    log::warn!("change refused: items=[{items}] {faults:?}");
+    operator::Answer::Refused(faults)
+}
+
 fn refusal(error: replica::Error) -> message::Refusal {
     match error {
         replica::Error::Refused(node::Refusal::NotLeader { .. }) => message::Refusal::NotLeader,
--- a/crates/yucca-own/src/site/item.rs
+++ b/crates/yucca-own/src/site/item.rs
@@ -166,6 +166,33 @@
     pub items: Vec<Item>,
 }
 
+impl Patch {
+    /// Returns the faults that the patch has by itself, whatever is stored.
+    pub fn faults(&self) -> Vec<Fault> {
+        let mut faults: Vec<Fault> = self.items.iter().flat_map(item_faults).collect();
+        let mut newest: IndexMap<&Key, &Item> = IndexMap::new();
+        for item in &self.items {
+            let known = newest.get(&item.key);
+            if known.is_none_or(|known| known.revision < item.revision) {
+                newest.insert(&item.key, item);
+            }
+        }
+        let mut places: IndexMap<(&str, &str), &Name> = IndexMap::new();
+        for item in newest.values() {
+            let Some(Body::Route(route)) = &item.body else {
+                continue;
+            };
+            if let Some(other) = places.insert((&route.host, &route.prefix), &item.key.name) {
+                faults.push(Fault::SamePlace {
+                    route: item.key.name.clone(),
+                    other: other.clone(),
+                });
+            }
+        }
+        faults
+    }
+}
+
 /// Reason for refusing a change.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Fault {
@@ -305,6 +332,43 @@
         Ok(())
     }
 
+    /// Returns the conflicts of superseded routes of a patch with the routes that are active once it
+    /// is applied. Such a patch was either accepted earlier, when the place was free, or is invalid;
+    /// the stored revisions do not tell which.
+    pub fn conflicts(&self, patch: &Patch) -> Vec<Fault> {
+        if !patch.items.iter().any(|item| self.supersedes(item)) {
+            return Vec::new();
+        }
+        let mut next = self.clone();
+        if next.change(id::Version::default(), patch.clone()).is_err() {
+            return Vec::new();
+        }
+        let mut places: IndexMap<(&str, &str), &Name> = IndexMap::new();
+        for (key, record) in next.active() {
+            if let Some(Body::Route(route)) = &record.body {
+                places.insert((&route.host, &route.prefix), &key.name);
+            }
+        }
+        let superseded = patch.items.iter().filter(|item| next.supersedes(item));
+        let conflicts = superseded.filter_map(|item| {
+            let Some(Body::Route(route)) = &item.body else {
+                return None;
+            };
+            let other = *places.get(&(route.host.as_str(), route.prefix.as_str()))?;
+            (*other != item.key.name).then(|| Fault::SamePlace {
+                route: item.key.name.clone(),
+                other: other.clone(),
+            })
+        });
+        conflicts.collect()
+    }
+
+    /// Returns whether other content is stored under the same or a higher revision of an item.
+    fn supersedes(&self, item: &Item) -> bool {
+        let stored = self.records.get(&item.key);
+        stored.is_some_and(|stored| stored.revision >= item.revision && stored.body != item.body)
+    }
+
     /// Returns the faults of an item whose revision is not higher than the stored one. A route may
     /// then name a service that was removed, but not one that never existed.
     fn superseded_faults(&self, item: &Item) -> Vec<Fault> {
--- a/crates/yucca-own/tests/item_versions.rs
+++ b/crates/yucca-own/tests/item_versions.rs
@@ -139,6 +139,47 @@
     assert!(log.active().is_empty());
 }
 
+/// A route that is superseded when it arrives has no effect, so its place is not checked when it is
+/// applied. Whoever acknowledges it has to know that another route has the place.
+#[test]
+fn a_superseded_route_in_the_place_of_another_conflicts() {
+    let mut log = Log::default();
+    log.change(vec![
+        service("a", 1),
+        route("r", 1, "h", &[("a", 1)]),
+        route("q", 7, "g", &[("a", 1)]),
+    ]);
+    let conflicts = |log: &Log, items: Vec<item::Item>| {
+        let patch = item::Patch { items };
+        log.state.items.conflicts(&patch).len()
+    };
+    let late = || vec![route("q", 5, "h", &[("a", 1)])];
+    assert_eq!(conflicts(&log, late()), 1);
+    let same_revision = vec![route("q", 7, "h", &[("a", 1)])];
+    assert_eq!(conflicts(&log, same_revision), 1);
+    // Its own place, or one that is free.
+    assert_eq!(conflicts(&log, vec![route("q", 5, "g", &[("a", 1)])]), 0);
+    assert_eq!(conflicts(&log, vec![route("q", 5, "f", &[("a", 1)])]), 0);
+    // The stored revision again, and one that takes effect.
+    assert_eq!(conflicts(&log, vec![route("q", 7, "g", &[("a", 1)])]), 0);
+    assert_eq!(conflicts(&log, vec![route("q", 8, "f", &[("a", 1)])]), 0);
+    // The other route leaves the place in the same call.
+    let mut moving = late();
+    moving.push(route("r", 2, "e", &[("a", 1)]));
+    assert_eq!(conflicts(&log, moving), 0);
+}
+
+#[test_case(vec![route("r", 1, "h", &[("a", 1)]), route("q", 1, "h", &[("a", 1)])], 1; "two routes in one place")]
+#[test_case(vec![route("r", 1, "h", &[("a", 1)]), route("q", 1, "g", &[("a", 1)])], 0; "two routes in two places")]
+#[test_case(vec![route("r", 1, "h", &[("a", 1)]), route("r", 1, "h", &[("a", 1)])], 0; "a route twice")]
+#[test_case(vec![route("r", 1, "h", &[("a", 1)]), route("r", 2, "g", &[("a", 1)]), route("q", 1, "h", &[("a", 1)])], 0; "a place that a newer revision leaves")]
+#[test_case(vec![route("r", 1, "h", &[("a", 1)]), removed(route("q", 0, "h", &[("a", 1)]), 1)], 0; "a removed route")]
+#[test_case(vec![route("r", 1, "", &[("a", 0)])], 2; "no host and no weight")]
+fn a_call_has_faults_by_itself(items: Vec<item::Item>, count: usize) {
+    let patch = item::Patch { items };
+    assert_eq!(patch.faults().len(), count, "{:?}", patch.faults());
+}
+
 #[test]
 fn a_follower_applies_only_newer_deltas() {
     let mut log = Log::default();
