entry: report targets that end while they run a request

Nothing told a request that crashes its targets from answers that are lost on the way: both are 'connection closed before message completed' in one line of one host, and the request can't be recognised in the lines of others, as each attempt has another id.

After a connection that ends without an answer, the host opens another one to the target, up to three times within 300 ms. If it is refused, the target has ended; the line names it and a digest of method, host, path and body. yucca_entry_crashes_total counts them. The table of what hosts know (quarantine) is not used yet.

--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry process: it accepts requests of callers and sends them to targets.
 
+mod crash;
 mod dispatcher;
 mod exchange;
 mod follow;
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -9,11 +9,11 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body;
 use rand::Rng;
-use yucca_lane::shared::{limit, service};
+use yucca_lane::shared::{limit, quarantine, service};
 use yucca_own::site::{item, range, target as site};
 
 use crate::dialect::{caller, target};
-use crate::entry::{Core, exchange, history, pool, view};
+use crate::entry::{Core, crash, exchange, history, pool, view};
 use crate::mutex::lock;
 use crate::server;
 
@@ -100,6 +100,22 @@
     pub service: item::Name,
     pub arrived: time::Duration,
     limit_at: time::Duration,
+    digest: sync::OnceLock<quarantine::Digest>,
+}
+
+impl Job {
+    /// Returns the digest of what callers repeat in another attempt.
+    fn digest(&self) -> quarantine::Digest {
+        *self.digest.get_or_init(|| {
+            let target = self.parts.uri.path_and_query();
+            quarantine::Digest::new(&[
+                self.parts.method.as_str().as_bytes(),
+                self.head.host.as_bytes(),
+                target.map_or("", |target| target.as_str()).as_bytes(),
+                &self.body,
+            ])
+        })
+    }
 }
 
 /// Result of one attempt.
@@ -157,6 +173,7 @@
             route,
             arrived,
             limit_at: arrived + timeout,
+            digest: sync::OnceLock::new(),
         };
         self.dispatcher.record_request(&job.service, arrived);
         let mut history = history::History::default();
@@ -321,6 +338,7 @@
             Ok(exchange::Exchange::Lost(reason)) => {
                 history.record(&target.name, &reason);
                 history.sent += 1;
+                tokio::spawn(self.clone().check_crash(job.digest(), number, target));
                 flight.outcome = service::Outcome::Failed;
                 Attempt::Unknown
             }
@@ -354,6 +372,22 @@
         }
     }
 
+    /// Checks whether a target has ended while it ran a request.
+    async fn check_crash(
+        self: sync::Arc<Self>,
+        digest: quarantine::Digest,
+        number: site::Number,
+        target: view::Target,
+    ) {
+        if crash::has_ended(target.address).await {
+            metrics::counter!("yucca_entry_crashes_total").increment(1);
+            log::info!(
+                "target={} number={number} ended; ran digest={digest}",
+                target.name
+            );
+        }
+    }
+
     /// Gives a connection back to the pool after the answer to the request `id`, unless it can't be
     /// trusted.
     fn keep(&self, connection: Option<pool::Connection>, verdict: target::Verdict, id: &Bytes) {
