entry: refuse requests that crash the targets that run them

Cause: nothing recognises a request that comes again.

Change: a host that finds a target ended tells all control hosts the digest of the request and the number of the instance. They merge what they are told; from two instances on they tell all entry hosts, which then clear the request if a target answers it; from three on all refuse it, with the status that promises nothing, for ten minutes after the last crash, twice as long after each further one. A host that connects is told all, in both directions. At most 1,024 requests are stored; digests are computed only while there are any.

The threshold counts instances, not attempts, so that copies of a request that ran together on one target count once, and a target that crashes under other requests is not held against them for long: an answer clears.

An old process reads the new message as a ping, since it follows one in the same frame; a new one ignores what follows a ping and can't be read.

--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -6,6 +6,7 @@
 mod leader;
 mod machine;
 mod peer;
+mod quarantine;
 mod transport;
 
 use std::net;
@@ -55,8 +56,8 @@
 
 /// State that the parts of the process share.
 ///
-/// Locks are taken in the order `machine`, `leases`, `peers`, `dialers`; none is held across an
-/// await.
+/// Locks are taken in the order `machine`, `leases`, `peers`, `quarantine`, `dialers`; none is held
+/// across an await.
 pub(crate) struct Core {
     settings: settings::Settings,
     dialect: Box<dyn operator::Operator>,
@@ -69,6 +70,8 @@
     /// The leases, with the term in which this host grants them as the leader.
     leases: sync::Mutex<Option<(u64, lease::Registry)>>,
     peers: sync::Mutex<IndexMap<link::Id, peer::Peer>>,
+    /// What entry hosts know of requests that crash targets.
+    quarantine: sync::Mutex<yucca_lane::shared::quarantine::Table>,
     transport: sync::Arc<transport::Transport>,
     leader_requests: leader::PendingRequests,
     /// Next confirmation of leadership, which heartbeats can join until it begins.
@@ -139,6 +142,7 @@
             machine,
             leases: sync::Mutex::default(),
             peers: sync::Mutex::default(),
+            quarantine: sync::Mutex::default(),
             transport,
             leader_requests: leader::PendingRequests::default(),
             confirmation: sync::Mutex::default(),
--- a/crates/yucca-fleet/src/control/peer.rs
+++ b/crates/yucca-fleet/src/control/peer.rs
@@ -48,6 +48,11 @@
         let _ = self.link.send(message::Message::Notice(notice.clone()));
     }
 
+    /// Queues a message without waiting. Returns false if it is lost.
+    pub fn send(&self, message: message::Message) -> bool {
+        self.link.send(message)
+    }
+
     /// Returns the description that the process gave of itself.
     pub fn hello(&self) -> &message::Hello {
         &self.hello
@@ -92,6 +97,9 @@
             notified_at: time::Duration::ZERO,
             hosts: message::Hosts::default(),
         };
+        if entry {
+            self.tell_quarantine(&peer);
+        }
         lock(&self.peers).insert(id, peer);
         if entry {
             self.notify_entries();
@@ -135,6 +143,7 @@
             message::Message::Pull { have } => self.answer_pull(id, have),
             message::Message::Report(report) => self.record_report(&report),
             moving @ message::Message::Moving { .. } => self.forward_moving(&moving),
+            message::Message::Quarantine(news) => self.handle_quarantine(&news),
             message::Message::Hello(_)
             | message::Message::Ping
             | message::Message::Notice(_)
--- a/crates/yucca-fleet/src/dialect/caller.rs
+++ b/crates/yucca-fleet/src/dialect/caller.rs
@@ -33,6 +33,8 @@
     Unknown,
     /// No answer arrived in time.
     Timeout,
+    /// Requests like this one crashed targets, so it is not sent to another.
+    Quarantined,
 }
 
 /// Protocol of callers.
--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -8,6 +8,7 @@
 mod history;
 mod peak;
 mod pool;
+mod quarantine;
 mod request;
 mod view;
 
@@ -70,6 +71,7 @@
     phase: f64,
     /// The other entry hosts.
     peers: ArcSwap<gossip::Peers>,
+    quarantine: quarantine::Quarantine,
 }
 
 /// A running entry process.
@@ -108,6 +110,7 @@
         let digests = digests.map_err(|error| error::Error::Listen { address, error })?;
         let metrics = metric::start(settings.addresses.metrics).await?;
         let retries = settings.retries;
+        let (quarantine, news) = quarantine::Quarantine::new();
         let core = sync::Arc::new(Core {
             dispatcher: sync::Arc::new(dispatcher::Dispatcher::new(window::Config {
                 window: retries.window.0,
@@ -126,10 +129,11 @@
             host_peak: sync::Mutex::default(),
             phase: rand::rng().random(),
             peers: ArcSwap::default(),
+            quarantine,
         });
         let (events, received) = mpsc::channel(MAX_QUEUED_EVENTS);
         let mut tasks = task::JoinSet::new();
-        tasks.spawn(follow::run(core.clone(), hello, events, received));
+        tasks.spawn(follow::run(core.clone(), hello, events, received, news));
         tasks.spawn(gossip::run(core.clone(), digests));
         tasks.spawn(core.clone().dispatch_when_due());
         let handler = sync::Arc::new(request::Handler(core.clone()));
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -6,11 +6,11 @@
 
 use indexmap::{IndexMap, IndexSet};
 use tokio::sync::mpsc;
-use yucca_lane::shared::target as shared;
+use yucca_lane::shared::{quarantine as shared_quarantine, target as shared};
 use yucca_own::site::{self, delta, item, target};
 use yucca_wire::id;
 
-use crate::entry::{Core, gossip, view};
+use crate::entry::{Core, gossip, quarantine, view};
 use crate::mesh::{link, message};
 use crate::mutex::lock;
 
@@ -57,6 +57,7 @@
     hello: message::Hello,
     events: mpsc::Sender<link::Event>,
     mut received: mpsc::Receiver<link::Event>,
+    mut news: quarantine::News,
 ) {
     let mut follower = Follower {
         hello,
@@ -82,6 +83,7 @@
                 None => return,
             },
             _ = reports.tick() => follower.tick(),
+            Some(news) = news.recv() => follower.tell(&news),
             Ok(()) = seeds.changed() => {
                 let named = seeds.borrow_and_update().clone();
                 log::info!("seeds={named:?} in effect");
@@ -145,9 +147,24 @@
             hosts: message::Hosts::default(),
             link,
         };
+        let known = self.core.quarantine.all(self.core.clock.now());
+        if !known.is_empty() {
+            let _ = control
+                .link
+                .send(message::Message::Quarantine(Box::new(known)));
+        }
         self.links.insert(control.link.id, control);
     }
 
+    /// Tells all control hosts of requests that crash targets. One that misses it is told all when
+    /// the connection is opened again.
+    fn tell(&self, news: &shared_quarantine::News) {
+        for control in self.links.values() {
+            let message = message::Message::Quarantine(Box::new(news.clone()));
+            let _ = control.link.send(message);
+        }
+    }
+
     fn handle_closed(&mut self, id: link::Id, reason: &str) {
         if let Some(control) = self.links.swap_remove(&id) {
             log::info!(
@@ -169,6 +186,10 @@
                     .dispatcher
                     .move_stripes(&service, &stripes, self.core.clock.now());
             }
+            message::Message::Quarantine(news) => {
+                let now = self.core.clock.now();
+                self.core.quarantine.merge(&news, now);
+            }
             message::Message::Hello(_)
             | message::Message::Ping
             | message::Message::Log(_)
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -13,7 +13,7 @@
 use yucca_own::site::{item, range, target as site};
 
 use crate::dialect::{caller, target};
-use crate::entry::{Core, crash, exchange, history, pool, view};
+use crate::entry::{Core, exchange, history, pool, view};
 use crate::mutex::lock;
 use crate::server;
 
@@ -128,6 +128,8 @@
     NotRun,
     /// The request was sent, and it is unknown whether it ran.
     Unknown,
+    /// The request is refused because it crashes targets.
+    Quarantined,
 }
 
 impl Core {
@@ -175,9 +177,13 @@
             limit_at: arrived + timeout,
             digest: sync::OnceLock::new(),
         };
-        self.dispatcher.record_request(&job.service, arrived);
         let mut history = history::History::default();
-        let answer = self.run(&job, &mut history).await;
+        let answer = if self.is_quarantined(&job) {
+            self.refuse(&job, caller::Refusal::Quarantined)
+        } else {
+            self.dispatcher.record_request(&job.service, arrived);
+            self.run(&job, &mut history).await
+        };
         history.log(self, &job, answer.status());
         answer
     }
@@ -236,6 +242,7 @@
                     }
                     last = caller::Refusal::Unknown;
                 }
+                Attempt::Quarantined => return self.refuse(job, caller::Refusal::Quarantined),
                 Attempt::NotRun => {
                     if history.sent > 0 && !self.may_retry(job) {
                         return self.refuse(job, self.not_run(job, target, last));
@@ -274,6 +281,10 @@
         waiter.decision().await
     }
 
+    fn is_quarantined(&self, job: &Job) -> bool {
+        self.quarantine.refuses(|| job.digest(), self.clock.now())
+    }
+
     fn may_retry(&self, job: &Job) -> bool {
         let now = self.clock.now();
         let hosts = lock(&self.host_peak).record(self.peers.load().count() + 1, now);
@@ -312,6 +323,10 @@
             outcome: service::Outcome::Dropped,
         };
         history.tried.push(number);
+        // It may have become known while the request waited.
+        if self.is_quarantined(job) {
+            return Attempt::Quarantined;
+        }
         let Some(target) = self.view.load().targets.get(&number).cloned() else {
             return Attempt::NotRun;
         };
@@ -355,6 +370,9 @@
                 let took = self.clock.now().saturating_sub(start);
                 self.record_limit(job, number, &target.name, &parts, verdict);
                 flight.outcome = outcome(verdict, took, job.head.key, token);
+                if matches!(verdict, target::Verdict::Answer | target::Verdict::Failure) {
+                    self.quarantine.clear(|| job.digest());
+                }
                 match verdict {
                     target::Verdict::Answer => Attempt::Answer(inbound(parts, body)),
                     target::Verdict::Failure => Attempt::Failure(inbound(parts, body)),
@@ -372,22 +390,6 @@
         }
     }
 
-    /// Checks whether a target has ended while it ran a request.
-    async fn check_crash(
-        self: sync::Arc<Self>,
-        digest: quarantine::Digest,
-        number: site::Number,
-        target: view::Target,
-    ) {
-        if crash::has_ended(target.address).await {
-            metrics::counter!("yucca_entry_crashes_total").increment(1);
-            log::info!(
-                "target={} number={number} ended; ran digest={digest}",
-                target.name
-            );
-        }
-    }
-
     /// Gives a connection back to the pool after the answer to the request `id`, unless it can't be
     /// trusted.
     fn keep(&self, connection: Option<pool::Connection>, verdict: target::Verdict, id: &Bytes) {
--- a/crates/yucca-fleet/src/mesh/link.rs
+++ b/crates/yucca-fleet/src/mesh/link.rs
@@ -293,6 +293,9 @@
 /// same names many times, and links may have little bandwidth.
 fn encode(message: &message::Message) -> Result<Bytes, rmp_serde::encode::Error> {
     let mut frame = vec![PLAIN];
+    if message.is_optional() {
+        rmp_serde::encode::write(&mut frame, &message::Message::Ping)?;
+    }
     rmp_serde::encode::write(&mut frame, message)?;
     if frame.len() < COMPRESSION_MIN_BYTES {
         return Ok(frame.into());
@@ -305,7 +308,7 @@
 fn decode(frame: &[u8]) -> Result<message::Message, String> {
     let (kind, body) = frame.split_first().ok_or("empty frame")?;
     let decoded = match *kind {
-        PLAIN => rmp_serde::from_slice(body),
+        PLAIN => decode_message(body),
         COMPRESSED => {
             // Decompression allocates as many bytes as the frame claims, so the claim is limited.
             let (size, _) = lz4_flex::block::uncompressed_size(body).map_err(|e| e.to_string())?;
@@ -313,9 +316,20 @@
                 return Err(format!("frame claims an uncompressed size of {size} bytes"));
             }
             let body = lz4_flex::decompress_size_prepended(body).map_err(|e| e.to_string())?;
-            rmp_serde::from_slice(&body)
+            decode_message(&body)
         }
         other => return Err(format!("unknown frame kind {other}")),
     };
     decoded.map_err(|error| error.to_string())
 }
+
+/// Decodes a message. One that is optional follows a ping; if it is unknown, only the ping counts.
+fn decode_message(body: &[u8]) -> Result<message::Message, rmp_serde::decode::Error> {
+    let first: message::Message = rmp_serde::from_slice(body)?;
+    if first != message::Message::Ping {
+        return Ok(first);
+    }
+    let mut rest = body;
+    rmp_serde::from_read::<_, message::Message>(&mut rest)?;
+    Ok(rmp_serde::from_slice(rest).unwrap_or(first))
+}
--- a/crates/yucca-fleet/src/mesh/message.rs
+++ b/crates/yucca-fleet/src/mesh/message.rs
@@ -3,6 +3,7 @@
 use std::net;
 
 use serde::{Deserialize, Serialize};
+use yucca_lane::shared::quarantine;
 use yucca_log::message as log_message;
 use yucca_own::site::{balance, delta, item, lease, range, target};
 use yucca_wire::id;
@@ -119,6 +120,17 @@
     },
     /// Measurements of an entry host.
     Report(Box<balance::Report>),
+    /// Requests that crash targets, from an entry host to all control hosts and from those to all
+    /// entry hosts.
+    Quarantine(Box<quarantine::News>),
+}
+
+impl Message {
+    /// Returns whether the receiver may ignore the message. It is sent after a ping in the same
+    /// frame, of which processes that don't know it read only the ping.
+    pub fn is_optional(&self) -> bool {
+        matches!(self, Self::Quarantine(_))
+    }
 }
 
 /// Load digest: the open requests of one entry host at targets, sent as a datagram.
