lane: the greatest number of slots does not overflow

Report of other operators: an odd entry of another writer among those of the servers ended the processes that read the list.

In a build with overflow checks each request then panics; without them the sum wraps and the target counts as full.

--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -544,8 +544,7 @@
         }
         let owner = stripe.owner?;
         let target = self.targets.get(&owner)?;
-        let room = target.load() < target.facts.slots + QUEUE_DEPTH;
-        (room && target.is_usable(now)).then_some((owner, Some(stripe.token)))
+        (has_room(target) && target.is_usable(now)).then_some((owner, Some(stripe.token)))
     }
 
     /// Returns the best target for a request without a key. Near targets with a free slot go first,
@@ -554,11 +553,10 @@
     /// are drawn and the faster one is taken, so that hosts with the same information do not all
     /// choose the same target.
     fn best(&self, request: &Request, now: time::Duration) -> Option<site::Number> {
-        let has_room = |target: &&target::Target| {
-            target.load() < target.facts.slots + QUEUE_DEPTH
-                && !request.tried.contains(&target.facts.number)
+        let may_take = |target: &&target::Target| {
+            has_room(target) && !request.tried.contains(&target.facts.number)
         };
-        let targets = || self.targets.values().filter(has_room);
+        let targets = || self.targets.values().filter(may_take);
         let usable: Vec<&target::Target> = targets().filter(|t| t.is_usable(now)).collect();
         if usable.is_empty() {
             return self.least_suspect(targets(), now);
@@ -597,6 +595,11 @@
     }
 }
 
+/// Returns whether a target may get a request, to process or to queue.
+fn has_room(target: &target::Target) -> bool {
+    target.load() < target.facts.slots.saturating_add(QUEUE_DEPTH)
+}
+
 /// Draws an index below `count` from the request's number alone, so that the same inputs give the
 /// same decisions.
 fn draw_index(number: u64, draw: u64, count: usize) -> usize {
--- a/crates/yucca-lane/tests/shared_targets.rs
+++ b/crates/yucca-lane/tests/shared_targets.rs
@@ -478,3 +478,14 @@
         );
     }
 }
+
+/// The sum of the slots and the queue must not overflow.
+#[test]
+fn a_target_with_the_greatest_number_of_slots_has_room() {
+    let mut service = service::Service::default();
+    service.set_targets(&[target::Facts {
+        slots: u32::MAX,
+        ..facts(1, true)
+    }]);
+    assert_eq!(sent(&service.arrive(request(0), ms(0))), [(0, 1)]);
+}
