entry: refuse requests that a planned stop would cut off

Report of other operators: in a planned stop of one entry host, requests that came late were taken and passed on, and at the end of the grace cut with no answer, among them writes.

Cause: a request was taken with its own time limit, whatever was left of the process's. Now a request that may last longer than that is refused before its body is read, as not run, to be sent again at once: another host takes it. A request that was open before the signal and outlasts the stop is answered as unknown (as not run if it was not sent) instead of closed.

--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -45,6 +45,9 @@
 /// Part of the stop time that is reserved for the exit of the process itself.
 const EXIT_MARGIN: time::Duration = time::Duration::from_millis(300);
 
+/// Time before that in which the answers to requests that are cut off are written.
+const CUT_OFF_MARGIN: time::Duration = time::Duration::from_millis(100);
+
 /// Maximum time that a connection waits for the complete head of a health check.
 const HEALTH_HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
@@ -62,7 +65,8 @@
     pool: pool::Pool,
     /// Whether this host has reached the newest version of the state since its start.
     synced: watch::Sender<bool>,
-    stopping: watch::Sender<bool>,
+    /// When requests are cut off, if the process is stopping.
+    stopping: watch::Sender<Option<time::Duration>>,
     /// The seeds in the current settings.
     seeds: watch::Sender<Vec<net::IpAddr>>,
     /// Greatest recent number of known entry hosts, this one included.
@@ -125,7 +129,7 @@
             view: ArcSwap::default(),
             pool: pool::Pool::default(),
             synced: watch::Sender::new(false),
-            stopping: watch::Sender::new(false),
+            stopping: watch::Sender::new(None),
             host_peak: sync::Mutex::default(),
             phase: rand::rng().random(),
             peers: ArcSwap::default(),
@@ -154,9 +158,11 @@
     /// Fails health checks, waits until load balancers have noticed and open requests have ended,
     /// and stops.
     pub async fn stop(mut self) {
-        self.core.stopping.send_replace(true);
-        tokio::time::sleep(DRAIN_NOTICE).await;
         let stop = self.core.settings.timing.stop.0;
+        let open = stop.saturating_sub(CUT_OFF_MARGIN + EXIT_MARGIN);
+        let cut_off_at = self.core.clock.now() + open;
+        self.core.stopping.send_replace(Some(cut_off_at));
+        tokio::time::sleep(DRAIN_NOTICE).await;
         self.server
             .stop(stop.saturating_sub(DRAIN_NOTICE + EXIT_MARGIN))
             .await;
@@ -165,7 +171,16 @@
 
 impl Core {
     fn is_ready(&self) -> bool {
-        *self.synced.borrow() && !*self.stopping.borrow()
+        *self.synced.borrow() && self.stopping.borrow().is_none()
+    }
+
+    /// Waits until a stopping process cuts off its open requests.
+    async fn cut_off(&self) {
+        let mut stopping = self.stopping.subscribe();
+        // The sender exists as long as this.
+        let stopping = stopping.wait_for(Option::is_some).await;
+        let at = stopping.ok().and_then(|at| *at);
+        sleep(&self.clock, at).await;
     }
 
     /// Dispatches waiting requests when the next of them is due.
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -66,7 +66,7 @@
     ) -> future::BoxFuture<'static, Response<Full<Bytes>>> {
         Box::pin(async move {
             let mut answer = self.0.answer(request).await;
-            if *self.0.stopping.borrow() {
+            if self.0.stopping.borrow().is_some() {
                 let close = http::HeaderValue::from_static("close");
                 answer.headers_mut().insert(header::CONNECTION, close);
             }
@@ -147,6 +147,16 @@
         let Some(route) = view.route(&head.host, parts.uri.path()).cloned() else {
             return self.unrouted(&view, &head, &parts);
         };
+        let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
+        let timeout = timeout
+            .saturating_sub(ANSWER_MARGIN)
+            .min(route.route.timeout + TIMEOUT_GRACE);
+        let limit_at = arrived + timeout;
+        if self.ends_before(limit_at) {
+            log::info!("request={:?} refused: the process is stopping", head.id);
+            let refusal = caller::Refusal::NotRun(time::Duration::ZERO);
+            return self.caller.refuse(Some(&head.id), refusal);
+        }
         let limit = view.limits.as_ref().map_or(DEFAULT_BODY_BYTES, |limits| {
             usize::try_from(limits.body_bytes).unwrap_or(usize::MAX)
         });
@@ -163,10 +173,6 @@
                 return self.caller.refuse(Some(&head.id), refusal);
             }
         };
-        let timeout = head.timeout.unwrap_or(DEFAULT_TIMEOUT);
-        let timeout = timeout
-            .saturating_sub(ANSWER_MARGIN)
-            .min(route.route.timeout + TIMEOUT_GRACE);
         let job = Job {
             service: choose(&route.route),
             head,
@@ -174,7 +180,7 @@
             body,
             route,
             arrived,
-            limit_at: arrived + timeout,
+            limit_at,
             digest: sync::OnceLock::new(),
         };
         let mut history = history::History::default();
@@ -182,7 +188,7 @@
             self.refuse(&job, caller::Refusal::Quarantined)
         } else {
             self.dispatcher.record_request(&job.service, arrived);
-            self.run(&job, &mut history).await
+            self.run_until_cut_off(&job, &mut history).await
         };
         history.log(self, &job, answer.status());
         answer
@@ -210,6 +216,38 @@
         self.caller.refuse(Some(&head.id), refusal)
     }
 
+    /// Returns whether a stopping process cuts off its requests before this time. Another host can
+    /// take such a request at once.
+    ///
+    /// Load pattern: a planned stop while callers still send requests, some of which take most of
+    /// the time that the process has.
+    fn ends_before(&self, limit_at: time::Duration) -> bool {
+        self.stopping
+            .borrow()
+            .is_some_and(|cut_off_at| cut_off_at < limit_at)
+    }
+
+    /// Runs a request, which a stopping process answers by itself in the end.
+    async fn run_until_cut_off(
+        self: &sync::Arc<Self>,
+        job: &Job,
+        history: &mut history::History,
+    ) -> Response<Bytes> {
+        let answer = tokio::select! {
+            answer = self.run(job, history) => Some(answer),
+            () = self.cut_off() => None,
+        };
+        answer.unwrap_or_else(|| {
+            let unsent = history.tried.is_empty() && history.sent == 0;
+            let refusal = if unsent {
+                caller::Refusal::NotRun(time::Duration::ZERO)
+            } else {
+                caller::Refusal::Unknown
+            };
+            self.refuse(job, refusal)
+        })
+    }
+
     /// Sends the request until there is an answer or no further attempt is possible.
     async fn run(
         self: &sync::Arc<Self>,
