entry: ask other domains if no near control host is current

Of the sources that may be stale, a control host of the own domain that is cut off from the others stays connected and goes on to send notices.

--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -48,6 +48,8 @@
     peer: message::Hello,
     /// The version in its latest notice.
     version: id::Version,
+    /// Whether that was the newest version, see [`message::Notice::current`].
+    current: bool,
     hosts: message::Hosts,
 }
 
@@ -144,6 +146,7 @@
         let control = Control {
             peer,
             version: id::Version::default(),
+            current: false,
             hosts: message::Hosts::default(),
             link,
         };
@@ -209,24 +212,32 @@
     }
 
     /// Handles a notice. The state is requested from a control host of this domain at once, and
-    /// from others if the newest version has not arrived by the next tick.
+    /// from others if the newest version has not arrived by the next tick, or if no control host of
+    /// this domain has it.
     fn handle_notice(&mut self, id: link::Id, notice: &message::Notice) {
         if notice.current {
             self.leader = notice.leader;
             self.newest = self.newest.max(Some(notice.version));
         }
-        let own = &self.core.settings.domain;
-        let is_near = |control: &Control| control.peer.domain == *own;
-        let near = self.links.values().any(is_near);
         if let Some(control) = self.links.get_mut(&id) {
             control.version = notice.version;
-            if !near || is_near(control) {
+            control.current = notice.current;
+            let near = control.peer.domain == self.core.settings.domain;
+            if near || !self.has_near_source() {
                 self.pull();
             }
         }
         self.update_synced();
     }
 
+    /// Returns whether a control host of this domain has the newest version. One that has lost
+    /// contact with the leader stays connected and sends old ones.
+    fn has_near_source(&self) -> bool {
+        let own = &self.core.settings.domain;
+        let mut links = self.links.values();
+        links.any(|control| control.current && control.peer.domain == *own)
+    }
+
     /// Requests changes since this host's version, preferably in this domain.
     fn pull(&mut self) {
         let have = self.state.version;
@@ -239,15 +250,14 @@
         }
     }
 
-    /// Requests changes if no control host of this domain is connected, since those of other
-    /// domains rarely send notices.
+    /// Requests changes if no control host of this domain has the newest version, since those of
+    /// other domains rarely send notices.
     fn poll(&mut self) {
-        let own = &self.core.settings.domain;
-        let mut links = self.links.values();
-        if links.any(|control| control.peer.domain == *own) {
+        if self.has_near_source() {
             return;
         }
-        let newest = self.links.values().max_by_key(|control| control.version);
+        let links = self.links.values();
+        let newest = links.max_by_key(|control| (control.current, control.version));
         if let Some(control) = newest {
             let link = control.link.clone();
             self.pull_from(&link);
