entry: keep to the rest that a target asks for in a refusal

Cause: nothing read the Retry-After of a target's refusal.

Until then the target gets nothing from this host, for each instance by itself: answers to earlier requests don't end it, a shorter time doesn't shorten it. Requests go to other targets, wait if the rest ends in time, or are refused at once with the share of their time that waiting callers get.

This is apart from the requests that crash targets: it has its own cause.

--- a/crates/yucca-fleet/src/dialect/target.rs
+++ b/crates/yucca-fleet/src/dialect/target.rs
@@ -47,4 +47,11 @@
     /// # Errors
     /// Fails if what it states is not a rate.
     fn limit(&self, headers: &HeaderMap) -> Result<Option<unit::Rate>, unit::Error>;
+
+    /// Returns the time for which a target that refused a request wants no others from this host, if
+    /// it says so.
+    ///
+    /// # Errors
+    /// Fails if what it says is not a time.
+    fn rest(&self, parts: &response::Parts) -> Result<Option<time::Duration>, unit::Error>;
 }
--- a/crates/yucca-fleet/src/entry/dispatcher.rs
+++ b/crates/yucca-fleet/src/entry/dispatcher.rs
@@ -192,6 +192,23 @@
         change
     }
 
+    /// Records that a target wants no request from this host for a time. Returns whether it did not
+    /// rest before.
+    pub fn set_rest(
+        &self,
+        name: &item::Name,
+        target: site::Number,
+        rest: time::Duration,
+        now: time::Duration,
+    ) -> bool {
+        let mut began = false;
+        self.with_queue(name, |queue| {
+            began = queue.service.set_rest(target, rest, now);
+            Vec::new()
+        });
+        began
+    }
+
     /// Records the outcome of a request that was sent.
     pub fn finish(
         &self,
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -407,6 +407,9 @@
                 history.record(&target.name, history::describe(verdict));
                 let took = self.clock.now().saturating_sub(start);
                 self.record_limit(job, number, &target.name, &parts, verdict);
+                if verdict == target::Verdict::Shed {
+                    self.record_rest(job, number, &target.name, &parts);
+                }
                 flight.outcome = outcome(verdict, took, job.head.key, token);
                 if matches!(verdict, target::Verdict::Answer | target::Verdict::Failure) {
                     self.quarantine.clear(|| job.digest());
@@ -492,6 +495,30 @@
         }
     }
 
+    /// Applies the rest that a target asks for in a refusal.
+    fn record_rest(
+        &self,
+        job: &Job,
+        number: site::Number,
+        target: &item::Name,
+        parts: &response::Parts,
+    ) {
+        match self.target.rest(parts) {
+            Ok(Some(rest)) => {
+                let now = self.clock.now();
+                if self.dispatcher.set_rest(&job.service, number, rest, now) {
+                    metrics::counter!("yucca_entry_rests_total").increment(1);
+                    log::info!("target={target} wants no requests from this host for {rest:?}");
+                }
+            }
+            Ok(None) => {}
+            Err(error) => {
+                metrics::counter!("yucca_entry_invalid_rests_total").increment(1);
+                log::debug!("target={target} rest ignored: {error}");
+            }
+        }
+    }
+
     fn outgoing(
         &self,
         job: &Job,
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -325,6 +325,22 @@
         target.set_limit(stated, share, now)
     }
 
+    /// Records that a target wants no request from this host for a time. Returns whether it did not
+    /// rest before.
+    pub fn set_rest(
+        &mut self,
+        number: site::Number,
+        rest: time::Duration,
+        now: time::Duration,
+    ) -> bool {
+        let Some(target) = self.targets.get_mut(&number) else {
+            return false;
+        };
+        let began = !target.rests(now);
+        target.rest_until(now.saturating_add(rest));
+        began
+    }
+
     /// Records the outcome of a request and returns the decisions that are due.
     pub fn finish(
         &mut self,
@@ -374,7 +390,8 @@
     pub fn next_wake(&self, now: time::Duration) -> Option<time::Duration> {
         let limits = self.waiting.values().map(|request| self.refuse_at(request));
         let denied = self.denied.values().map(|denial| denial.until);
-        let paused = self.targets.values().map(|target| target.paused_until);
+        let targets = self.targets.values();
+        let paused = targets.flat_map(|target| [target.paused_until, target.rests_until()]);
         let limited = self.targets.values().filter_map(target::Target::limit);
         let allowed = limited.map(|limit| limit.next_at(now));
         let waits = !self.waiting.is_empty();
@@ -460,7 +477,7 @@
     /// time, and each host has requests that wait for them. One waiting request per host is enough
     /// to keep the slots busy; further ones would wait for nothing. Or the owner of a key, or every
     /// target of a service without keys, states a limit that allows this host no further request in
-    /// time.
+    /// time, or wants rest until then.
     fn cannot_be_served(
         &self,
         request: &Request,
@@ -473,7 +490,7 @@
             let ahead = waiting(Some(owner.facts.number));
             let full = owner.is_busy() && ahead > 0;
             let limited = owner.turns(until, now).is_some_and(|turns| turns <= ahead);
-            return full || limited || owner.is_out_of_reach(until);
+            return full || limited || owner.rests(until) || owner.is_out_of_reach(until);
         }
         if self.keyed {
             return false;
@@ -482,7 +499,13 @@
             .targets
             .values()
             .filter(|target| target.facts.open && !request.tried.contains(&target.facts.number));
-        let turns = open.map(|target| target.turns(until, now));
+        let turns = open.map(|target| {
+            if target.rests(until) {
+                Some(0)
+            } else {
+                target.turns(until, now)
+            }
+        });
         // `None` if any target has no limit.
         let turns: Option<Vec<u32>> = turns.collect();
         turns.is_some_and(|turns| {
@@ -589,7 +612,8 @@
         if self.targets.values().any(|target| target.is_up(now)) {
             return None;
         }
-        let suspects = targets.filter(|target| target.is_suspect() && target.limit_allows(now));
+        let suspects = targets
+            .filter(|target| target.is_suspect() && target.limit_allows(now) && !target.rests(now));
         let first = suspects.min_by_key(|target| target.paused_until);
         first.map(|target| target.facts.number)
     }
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -68,6 +68,8 @@
     unshared: Measurement,
     /// The limit that it states, if any.
     limit: Option<limit::Limit>,
+    /// Time until which it wants no request from this host.
+    rests_until: time::Duration,
 }
 
 /// Number of answers and their total service time.
@@ -108,6 +110,7 @@
             measured: Measurement::default(),
             unshared: Measurement::default(),
             limit: None,
+            rests_until: time::Duration::ZERO,
         }
     }
 
@@ -132,7 +135,23 @@
 
     /// Returns whether it may get a request.
     pub fn is_usable(&self, now: time::Duration) -> bool {
-        self.is_up(now) && self.limit_allows(now)
+        self.is_up(now) && self.limit_allows(now) && !self.rests(now)
+    }
+
+    /// Returns whether it wants no request at this time.
+    pub fn rests(&self, at: time::Duration) -> bool {
+        at < self.rests_until
+    }
+
+    /// Returns the time until which it wants no request.
+    pub fn rests_until(&self) -> time::Duration {
+        self.rests_until
+    }
+
+    /// Records that it wants no request from this host until a time. Answers to requests that it
+    /// got before don't end the rest.
+    pub fn rest_until(&mut self, until: time::Duration) {
+        self.rests_until = self.rests_until.max(until);
     }
 
     /// Returns whether it may get a request, apart from the limit that it states.
