--- a/crates/yucca-fleet/tests/mesh_links.rs
+++ b/crates/yucca-fleet/tests/mesh_links.rs
@@ -10,7 +10,8 @@
 use tokio::sync::mpsc;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use yucca_fleet::mesh::{link, message};
-use yucca_own::site::{balance, item};
+use yucca_lane::shared::quarantine;
+use yucca_own::site::{balance, item, target};
 use yucca_wire::id;
 
 fn hello(name: &str) -> message::Hello {
@@ -112,6 +113,55 @@
     accepting.abort();
 }
 
+fn crash() -> message::Message {
+    message::Message::Quarantine(Box::new(quarantine::News {
+        crashes: vec![quarantine::Evidence {
+            digest: quarantine::Digest::new(&[b"GET", b"host", b"/path", b""]),
+            targets: vec![target::Number(7)],
+            age: std::time::Duration::from_millis(3),
+        }],
+        cleared: Vec::new(),
+    }))
+}
+
+/// Processes of an older build read an optional message as a ping, and those of this build read the
+/// message.
+#[tokio::test]
+async fn an_optional_message_follows_a_ping() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (events, _receiver) = mpsc::channel(16);
+    let dialer = link::Dialer::start(address, hello("a"), events);
+    assert!(dialer.send(crash()));
+    let (stream, _) = listener.accept().await.unwrap();
+    let mut frames = Framed::new(stream, LengthDelimitedCodec::new());
+    let _hello = frames.next().await.unwrap().unwrap();
+    let frame = frames.next().await.unwrap().unwrap();
+    assert!(frame.len() < 100, "{} bytes", frame.len());
+    let older: message::Message = rmp_serde::from_slice(&frame[1..]).unwrap();
+    assert_eq!(older, message::Message::Ping);
+    let (events, mut received) = mpsc::channel(16);
+    let accepting = tokio::spawn(link::accept(listener, hello("b"), events));
+    let mut sending = Framed::new(
+        TcpStream::connect(address).await.unwrap(),
+        LengthDelimitedCodec::new(),
+    );
+    // What follows a ping and can't be read is ignored; so is a ping by itself.
+    let ping = frame[..frame.len() - 1].to_vec();
+    for bytes in [ping, frame.to_vec()] {
+        sending.send(Bytes::from(bytes)).await.unwrap();
+    }
+    let arrived = loop {
+        match received.recv().await.unwrap() {
+            link::Event::Message { message, .. } => break message,
+            link::Event::Opened { .. } => {}
+            closed @ link::Event::Closed { .. } => panic!("{closed:?}"),
+        }
+    };
+    assert_eq!(arrived, crash());
+    accepting.abort();
+}
+
 /// A frame that is empty, truncated, of an unknown kind or claims to be huge only ends its
 /// connection.
 #[test_case(&[]; "empty")]
