entry: count refusals of quarantined requests, and those that are cleared

The gauge of quarantined requests did not fall when one was cleared, and refusals could be told from other answers with status 502 by their lines only.

--- a/crates/yucca-fleet/src/entry/quarantine.rs
+++ b/crates/yucca-fleet/src/entry/quarantine.rs
@@ -41,17 +41,22 @@
         now: time::Duration,
     ) -> bool {
         let table = lock(&self.table);
-        !table.is_empty() && table.is_refused(&digest(), now)
+        let refused = !table.is_empty() && table.is_refused(&digest(), now);
+        if refused {
+            metrics::counter!("yucca_entry_quarantine_refusals_total").increment(1);
+        }
+        refused
     }
 
     /// Clears a request that a target answered.
-    pub fn clear(&self, digest: impl FnOnce() -> quarantine::Digest) {
+    pub fn clear(&self, digest: impl FnOnce() -> quarantine::Digest, now: time::Duration) {
         let mut table = lock(&self.table);
         if table.is_empty() {
             return;
         }
         let digest = digest();
         if table.clear(&digest) {
+            count_refused(&table, now);
             drop(table);
             log::info!("digest={digest} was answered; no longer suspected of crashing targets");
             self.tell(quarantine::News {
@@ -70,6 +75,7 @@
         for digest in &news.cleared {
             table.clear(digest);
         }
+        count_refused(&table, now);
     }
 
     /// Returns all that is known, for a control host that may have started after it.
@@ -115,10 +121,14 @@
             targets.join(" ")
         );
     }
-    metrics::gauge!("yucca_entry_quarantined_requests").set(table.refused_count(now) as f64);
+    count_refused(table, now);
     Some(added)
 }
 
+fn count_refused(table: &quarantine::Table, now: time::Duration) {
+    metrics::gauge!("yucca_entry_quarantined_requests").set(table.refused_count(now) as f64);
+}
+
 impl Core {
     /// Checks whether a target has ended while it ran a request.
     pub(super) async fn check_crash(
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -412,7 +412,7 @@
                 }
                 flight.outcome = outcome(verdict, took, job.head.key, token);
                 if matches!(verdict, target::Verdict::Answer | target::Verdict::Failure) {
-                    self.quarantine.clear(|| job.digest());
+                    self.quarantine.clear(|| job.digest(), self.clock.now());
                 }
                 match verdict {
                     target::Verdict::Answer => Attempt::Answer(inbound(parts, body)),
