entry: a peer's server error does not mean that a request did not run

Cause: each status of a peer that is no success counted as "not sent", also the 500 of a lane whose answer can't be encoded, which follows the work. The entry host then sent the request again, without saying that it was sent before.

Change: only client errors, which a peer answers before it processes a request, count as not sent.

--- a/crates/yucca-entry/src/connection/peers.rs
+++ b/crates/yucca-entry/src/connection/peers.rs
@@ -51,7 +51,7 @@
         /// Error of the connection.
         source: hyper::Error,
     },
-    /// The peer rejected the request.
+    /// The peer rejected the request, or failed to answer it.
     Status {
         /// Address of the peer.
         address: net::SocketAddr,
@@ -74,7 +74,7 @@
             }
             Self::Status { address, status } => write!(
                 f,
-                "peer {address} rejected the request with {status}; check that secrets and versions match"
+                "peer {address} answered {status}; check that secrets and versions match, and its log"
             ),
         }
     }
@@ -86,7 +86,9 @@
     /// Returns whether the peer is known not to have processed the request.
     pub fn not_sent(&self) -> bool {
         match self {
-            Self::Dial { .. } | Self::Status { .. } => true,
+            Self::Dial { .. } => true,
+            // A peer checks a request before it processes it; a server error may follow the work.
+            Self::Status { status, .. } => status.is_client_error(),
             Self::Exchange { .. } => false,
         }
     }
