log, control: all control hosts are members of a spread log

Cause: a spread log took five voters and learners only to replace one. A lost voter was replaced only after another host had joined and caught up.

Change: hosts beyond the voters are learners, 20 at most, and a sixth voter is always temporary. A learner forgets a leader that it has not heard of for an election timeout. Beyond 20 learners a host asks the leader to join and takes its answer as a hint for 2.5 s; what others say of the leader is never a hint. Reads are confirmed by the voters only, so that learners cost no message for each. A member that is about to stop is not promoted.

An old build reads all of this: no message or record changed. An old leader adds no learners and promotes one if the number of voters is even, also beyond five; a new leader removes the surplus.

--- a/crates/yucca-control/src/replica.rs
+++ b/crates/yucca-control/src/replica.rs
@@ -67,7 +67,8 @@
 /// The state of a log as its replica knows it.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Status {
-    /// The leader, if known.
+    /// The leader, if known. If this replica is not a member, it is the host that last said so of
+    /// itself, which may be out of date.
     pub leader: Option<id::Host>,
     /// Whether this replica is the leader.
     pub leads: bool,
--- a/crates/yucca-control/src/replica/run.rs
+++ b/crates/yucca-control/src/replica/run.rs
@@ -57,7 +57,7 @@
     pub replies: IndexMap<id::Version, Bytes>,
     /// Replicas that are not members and asked to join, with the time of the last request.
     pub joining: IndexMap<membership::Replica, time::Duration>,
-    /// Voters that are about to stop, with the time of the last report.
+    /// Members that are about to stop, with the time of the last report.
     pub leaving: IndexMap<membership::Replica, time::Duration>,
     /// Whether this replica, which is about to stop, is no longer a voter.
     pub left: bool,
@@ -278,7 +278,7 @@
     pub fn publish_status(&mut self) {
         let node = &self.node;
         let status = Status {
-            leader: node.leader().cloned(),
+            leader: node.leader_hint().cloned(),
             leads: node.role() == node::Role::Leader,
             term: node.term(),
             applied: node.applied(),
--- a/crates/yucca-log/src/membership/spread.rs
+++ b/crates/yucca-log/src/membership/spread.rs
@@ -1,8 +1,9 @@
 //! The membership rule of a log whose voters are spread over the failure domains.
 //!
 //! The number of voters is odd, but for the changes between two odd numbers: an even number needs a
-//! larger quorum and tolerates no more losses. Further hosts are learners, which replace a voter
-//! that is lost or about to stop.
+//! larger quorum and tolerates no more losses. Further hosts are learners: they have the state and
+//! know the leader, and replace a voter that is lost or about to stop without first having to catch
+//! up.
 
 use indexmap::IndexMap;
 use yucca_wire::id;
@@ -15,9 +16,9 @@
 /// Maximum number of voters, but for the changes that replace one.
 const MAX_VOTERS: usize = 5;
 
-/// Maximum number of learners while there are fewer than [`MAX_VOTERS`] voters: voters are added in
-/// pairs.
-const MAX_LEARNERS: usize = 2;
+/// Maximum number of learners. Each costs the leader as many messages as a voter. Hosts beyond it
+/// redirect to the leader.
+const MAX_LEARNERS: usize = 20;
 
 /// Status of a replica that is or could be a member, as seen by the leader.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -165,6 +166,9 @@
     fn promote(&self) -> Option<Change> {
         let best = self.best(self.ready_learners())?;
         let voters = self.voter_count();
+        if voters > MAX_VOTERS {
+            return None;
+        }
         let pair = voters < MAX_VOTERS && self.ready_learners().count() >= 2;
         let wanted = voters < MIN_VOTERS
             || voters.is_multiple_of(2)
@@ -183,24 +187,22 @@
     }
 
     fn add_learner(&self) -> Option<Change> {
+        if self.members.learners().len() >= MAX_LEARNERS {
+            return None;
+        }
         let spares = self.statuses.iter();
         let spares = spares.filter(|s| !self.members.contains(&s.replica) && self.is_free(s));
         let best = self.best(spares)?;
-        let replaces = self.dead_voters().next().or(self.leaving_voter()).is_some();
-        let wanted = if self.voter_count() < MAX_VOTERS {
-            MAX_LEARNERS
-        } else {
-            usize::from(replaces || self.evens_out(best))
-        };
-        let lacking = self.members.learners().len() < wanted;
-        lacking.then(|| Change::AddLearner(best.replica.clone()))
+        Some(Change::AddLearner(best.replica.clone()))
     }
 
-    /// Removes a voter beyond an odd number, from the domain with the most voters, if there is no
-    /// learner to add in its place.
+    /// Removes a voter beyond an odd number, from the domain with the most voters, unless a learner
+    /// may be promoted to make the number odd.
     fn remove_surplus(&self) -> Option<Change> {
-        let even = self.voter_count() > MIN_VOTERS && self.voter_count().is_multiple_of(2);
-        if !even || self.dead_voters().next().is_some() || !self.members.learners().is_empty() {
+        let voters = self.voter_count();
+        let even = voters > MIN_VOTERS && voters.is_multiple_of(2);
+        let grows = voters < MAX_VOTERS && !self.members.learners().is_empty();
+        if !even || grows || self.dead_voters().next().is_some() {
             return None;
         }
         let domains = self.voters_by_domain();
--- a/crates/yucca-log/src/node.rs
+++ b/crates/yucca-log/src/node.rs
@@ -67,6 +67,8 @@
     leader: Option<membership::Replica>,
     /// Time of the last contact with a leader, since process start; `None` before the first.
     leader_contact: Option<Duration>,
+    /// The last host that said of itself that it leads, while this replica asked to join.
+    claimed_leader: Option<join::Claim>,
     log: log::Log,
     commit: id::Version,
     applied: id::Version,
@@ -105,6 +107,7 @@
             state: State::Follower,
             leader: None,
             leader_contact: None,
+            claimed_leader: None,
             commit,
             applied: commit,
             writer: writer::Writer::new(log.last().version),
@@ -150,6 +153,14 @@
         self.leader.as_ref().map(|leader| &leader.host)
     }
 
+    /// Returns the host to ask for the leader: the leader of the current term or, while this replica
+    /// follows none, the last host that said of itself that it leads. The latter may be out of date.
+    pub fn leader_hint(&self) -> Option<&id::Host> {
+        let claim = self.claimed_leader.as_ref();
+        let claim = claim.filter(|claim| self.now < claim.until);
+        self.leader().or(claim.map(|claim| &claim.host))
+    }
+
     /// Returns the role of the replica in its term.
     pub fn role(&self) -> Role {
         match &self.state {
--- a/crates/yucca-log/src/node/election.rs
+++ b/crates/yucca-log/src/node/election.rs
@@ -110,7 +110,7 @@
         self.set_leader(leader);
     }
 
-    fn set_leader(&mut self, leader: Option<membership::Replica>) {
+    pub(super) fn set_leader(&mut self, leader: Option<membership::Replica>) {
         if leader.is_some() {
             self.leader_contact = Some(self.now);
             self.reset_election();
--- a/crates/yucca-log/src/node/io.rs
+++ b/crates/yucca-log/src/node/io.rs
@@ -149,7 +149,7 @@
         /// The replica.
         replica: membership::Replica,
     },
-    /// A voter is about to stop. Emitted by the leader.
+    /// A member is about to stop. Emitted by the leader.
     Leaving {
         /// The replica.
         replica: membership::Replica,
--- a/crates/yucca-log/src/node/join.rs
+++ b/crates/yucca-log/src/node/join.rs
@@ -1,5 +1,7 @@
 //! Joining: how a replica finds or bootstraps a log, and how the leader learns of new replicas.
 
+use std::time::Duration;
+
 use indexmap::IndexSet;
 use rand::Rng;
 use yucca_wire::id;
@@ -10,6 +12,18 @@
 use crate::node::{Node, Output};
 use crate::storage;
 
+/// Time for which a host's word that it leads counts. A replica that is not a member asks again
+/// at least once a second, so one lost answer does not matter.
+const CLAIM_TTL: Duration = Duration::from_millis(2_500);
+
+/// A host's word that it leads the log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Claim {
+    pub host: id::Host,
+    /// Time at which it expires, since process start.
+    pub until: Duration,
+}
+
 impl Node {
     /// Periodically sends [`message::Body::Join`] to all known hosts until a leader is in contact.
     pub(super) fn tick_non_voter(&mut self) {
@@ -20,6 +34,8 @@
         if self.has_active_leader() {
             return;
         }
+        // A learner does not campaign, so only time tells it that its leader may be lost.
+        self.set_leader(None);
         self.try_bootstrap();
         let members = self.members().iter().map(|member| member.host.clone());
         let mut hosts: IndexSet<id::Host> = members.collect();
@@ -50,10 +66,7 @@
         if cluster.is_some() && cluster != self.cluster {
             return;
         }
-        if self.is_leader() {
-            self.report_non_member(&sender);
-            return;
-        }
+        self.report_non_member(&sender);
         let reply = match self.cluster {
             None => message::JoinReply::Empty,
             Some(_) => message::JoinReply::Member(self.leader().cloned()),
@@ -77,8 +90,16 @@
             }
             message::JoinReply::Member(leader) => {
                 self.log_exists = true;
-                if let Some(leader) = leader.filter(|leader| *leader != sender.host) {
-                    self.send_join(leader);
+                // Only the leader's own word counts: others may name one that no longer leads.
+                match leader {
+                    Some(leader) if leader == sender.host => {
+                        self.claimed_leader = Some(Claim {
+                            host: leader,
+                            until: self.now + CLAIM_TTL,
+                        });
+                    }
+                    Some(leader) => self.send_join(leader),
+                    None => {}
                 }
             }
         }
--- a/crates/yucca-log/src/node/leader.rs
+++ b/crates/yucca-log/src/node/leader.rs
@@ -30,6 +30,15 @@
     pub heartbeat_at: Duration,
 }
 
+/// The members to which a heartbeat round is sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Scope {
+    /// All members.
+    Members,
+    /// The voters, whose answers confirm a read.
+    Voters,
+}
+
 /// A heartbeat round.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Round {
@@ -198,21 +207,28 @@
         }
     }
 
-    /// Starts a heartbeat round.
+    /// Starts the heartbeat round that is due at the interval of heartbeats.
     pub(super) fn heartbeat(&mut self) {
-        let oldest = self.now.saturating_sub(self.election_timeout() * 2);
         let next = self.now + self.config.heartbeat_interval;
+        if let State::Leader(lead) = &mut self.state {
+            lead.heartbeat_at = next;
+        }
+        self.start_round(Scope::Members);
+    }
+
+    /// Starts a heartbeat round.
+    pub(super) fn start_round(&mut self, scope: Scope) {
+        let oldest = self.now.saturating_sub(self.election_timeout() * 2);
         let State::Leader(lead) = &mut self.state else {
             return;
         };
         lead.round += 1;
-        lead.heartbeat_at = next;
         lead.rounds.retain(|round| round.sent >= oldest);
         lead.rounds.push_back(Round {
             number: lead.round,
             sent: self.now,
         });
-        self.send_heartbeats();
+        self.send_heartbeats(scope);
         self.try_transfer();
     }
 
--- a/crates/yucca-log/src/node/leave.rs
+++ b/crates/yucca-log/src/node/leave.rs
@@ -12,17 +12,19 @@
         }
     }
 
-    /// Reports a voter that is about to stop to the owner, or replies once it is no longer one.
+    /// Reports a member that is about to stop to the owner, so that it is not promoted, and replies
+    /// once it does not vote.
     pub(super) fn on_leave(&mut self, sender: membership::Replica) {
         if !self.is_leader() {
             return;
         }
         let committed = self.log.members_version() <= self.commit;
-        if self.members().is_voter(&sender) {
-            self.outputs.push(Output::Leaving { replica: sender });
-        } else if committed {
+        if !self.members().is_voter(&sender) && committed {
             self.send_now(&sender, message::Body::Left);
         }
+        if self.members().contains(&sender) {
+            self.outputs.push(Output::Leaving { replica: sender });
+        }
     }
 
     pub(super) fn on_left(&mut self, sender: &membership::Replica, term: entry::Term) {
--- a/crates/yucca-log/src/node/read.rs
+++ b/crates/yucca-log/src/node/read.rs
@@ -1,6 +1,6 @@
 //! Linearizable reads: after a read arrives, a quorum confirms that the leader still leads.
 
-use crate::node::leader::Read;
+use crate::node::leader::{Read, Scope};
 use crate::node::{Node, Output, Refusal, State};
 
 impl Node {
@@ -19,7 +19,7 @@
         let idle = lead.reads.is_empty();
         lead.reads.push_back(Read { request_id, round });
         if idle {
-            self.heartbeat();
+            self.start_round(Scope::Voters);
         }
     }
 
@@ -46,7 +46,7 @@
             });
         }
         if needs_round && !answered.is_empty() {
-            self.heartbeat();
+            self.start_round(Scope::Voters);
         }
     }
 
--- a/crates/yucca-log/src/node/replicate.rs
+++ b/crates/yucca-log/src/node/replicate.rs
@@ -7,6 +7,7 @@
 use crate::entry;
 use crate::membership;
 use crate::message;
+use crate::node::leader::Scope;
 use crate::node::{Node, State};
 use crate::progress;
 
@@ -39,9 +40,13 @@
         }
     }
 
-    pub(super) fn send_heartbeats(&mut self) {
+    pub(super) fn send_heartbeats(&mut self, scope: Scope) {
         let commit = self.commit;
-        for replica in self.followers() {
+        let mut replicas = self.followers();
+        if scope == Scope::Voters {
+            replicas.retain(|replica| self.members().is_voter(replica));
+        }
+        for replica in replicas {
             let Some(progress) = self.progress(&replica) else {
                 continue;
             };
--- a/crates/yucca-log/tests/fake/mod.rs
+++ b/crates/yucca-log/tests/fake/mod.rs
@@ -2,6 +2,8 @@
 //! the log after each output.
 #![allow(dead_code, clippy::unwrap_used)]
 
+pub mod upkeep;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
--- a/crates/yucca-log/tests/spread_rule.rs
+++ b/crates/yucca-log/tests/spread_rule.rs
@@ -70,6 +70,22 @@
 #[test_case(&["a1", "b1", "c1", "a2", "b2"], &["a1", "b1", "c1", "a2", "c2"], &["b2"], &["a1", "a2", "b1", "c1", "c2"], &[]; "one of five is replaced")]
 #[test_case(&["a1", "a2", "b1"], &["a1", "a2", "b1", "c1"], &[], &["a1", "b1", "c1"], &["a2"]; "a domain without a voter gets one")]
 #[test_case(&["a1", "b1", "c1"], &["a1", "b1", "a2"], &["c1"], &["a1", "a2", "b1"], &[]; "replaced from another domain")]
+#[test_case(
+    &["a1", "b1", "c1"],
+    &["a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2", "c3", "d1", "d2", "d3", "e1", "e2", "e3"],
+    &[],
+    &["a1", "b1", "c1", "d1", "e1"],
+    &["a2", "a3", "b2", "b3", "c2", "c3", "d2", "d3", "e2", "e3"];
+    "hosts beyond the voters are learners"
+)]
+#[test_case(
+    &["a1", "a2", "b1", "b2", "c1"],
+    &["a1", "a2", "b1", "b2", "c1", "d1", "e1"],
+    &[],
+    &["a1", "b1", "c1", "d1", "e1"],
+    &["a2", "b2"];
+    "voters move to domains without one"
+)]
 fn the_rule_settles(
     voters: &[&str],
     alive: &[&str],
@@ -150,6 +166,43 @@
     assert_eq!(change, Some(Change::Remove(replica("c2"))));
 }
 
+/// A domain with its hosts, or any two hosts, do not reply; later they do again.
+#[test]
+fn fifteen_hosts_regain_five_voters_after_each_pattern_of_loss() {
+    let hosts: Vec<String> = ["a", "b", "c", "d", "e"]
+        .iter()
+        .flat_map(|domain| (1..=3).map(move |number| format!("{domain}{number}")))
+        .collect();
+    let hosts: Vec<&str> = hosts.iter().map(String::as_str).collect();
+    let domains = ["a", "b", "c", "d", "e"].map(|domain| {
+        let lost = hosts.iter().filter(|host| host.starts_with(domain));
+        lost.copied().collect::<Vec<_>>()
+    });
+    let pairs = hosts.iter().enumerate().flat_map(|(index, one)| {
+        let later = hosts[index + 1..].iter();
+        later.map(move |other| vec![*one, *other])
+    });
+    for lost in domains.into_iter().chain(pairs) {
+        let alive: Vec<&str> = hosts
+            .iter()
+            .copied()
+            .filter(|host| !lost.contains(host))
+            .collect();
+        let (voters, learners) = settle(&["a1", "b1", "c1", "d1", "e1"], &alive, &lost);
+        assert_eq!((voters.len(), learners.len()), (5, alive.len() - 5));
+        let running = voters.iter().all(|voter| alive.contains(&voter.as_str()));
+        assert!(running, "lost {lost:?}: {voters:?}");
+        let voters: Vec<&str> = voters.iter().map(String::as_str).collect();
+        let mut returned = voters.clone();
+        returned.extend(hosts.iter().filter(|host| !voters.contains(host)));
+        let (voters, learners) = settle(&voters, &returned, &[]);
+        assert_eq!((voters.len(), learners.len()), (5, 10));
+        let mut domains: Vec<&str> = voters.iter().map(|voter| &voter[..1]).collect();
+        domains.dedup();
+        assert_eq!(domains.len(), 5, "lost {lost:?}: {voters:?}");
+    }
+}
+
 #[test]
 fn a_host_without_a_disk_gets_no_vote() {
     let members = Members::new(["a1", "b1", "c1"].map(replica));
--- a/crates/yucca-spec/src/spread.rs
+++ b/crates/yucca-spec/src/spread.rs
@@ -29,7 +29,9 @@
 /// The bounds of a search.
 #[derive(Debug, Clone)]
 pub struct Setup {
-    /// Number of hosts that may join later. The initial voters are three others.
+    /// Number of initial voters, an odd one. The loss of less than half of them is tolerated.
+    pub voters: usize,
+    /// Number of hosts that may join later.
     pub spares: usize,
     /// Maximum number of losses of hosts.
     pub losses: u8,
@@ -39,9 +41,6 @@
     pub mutant: Mutant,
 }
 
-/// Number of initial voters.
-const VOTERS: usize = 3;
-
 /// State of a host.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Host {
@@ -197,12 +196,12 @@
         settled && !leaders.is_empty() && changes.all(|change| change.is_none())
     }
 
-    /// Allows the next loss of a voter if the state is at rest and as many hosts run as at the
+    /// Allows the next losses of voters if the state is at rest and as many hosts run as at the
     /// start.
     fn reset_tolerated(mut self, setup: &Setup) -> Self {
         let running = self.hosts.iter().filter(|host| **host == Host::Up);
-        if running.count() >= VOTERS && self.is_at_rest(setup) {
-            self.tolerated = 1;
+        if running.count() >= setup.voters && self.is_at_rest(setup) {
+            self.tolerated = setup.voters / 2;
         }
         self
     }
@@ -310,10 +309,10 @@
     type State = State;
 
     fn initial_states(&self) -> Vec<State> {
-        let count = VOTERS + self.spares;
-        let members = Members::new((0..VOTERS).filter_map(|host| replica(host, 1)));
+        let count = self.voters + self.spares;
+        let members = Members::new((0..self.voters).filter_map(|host| replica(host, 1)));
         let state = |host| {
-            if host < VOTERS {
+            if host < self.voters {
                 Host::Up
             } else {
                 Host::Absent
--- a/crates/yucca-spec/tests/spread_search.rs
+++ b/crates/yucca-spec/tests/spread_search.rs
@@ -8,6 +8,7 @@
 
 fn setup(spares: usize, losses: u8, stops: u8) -> Setup {
     Setup {
+        voters: 3,
         spares,
         losses,
         stops,
@@ -32,6 +33,25 @@
     assert!(outcome.states > 100);
 }
 
+/// Two hosts are lost at once, or one after the other before the first is replaced, with a host that
+/// is no voter in reserve.
+#[test_case(0, 2, 0; "no host in reserve")]
+#[test_case(1, 2, 0; "a host in reserve")]
+fn two_losses_of_five_voters_violate_no_invariant(spares: usize, losses: u8, stops: u8) {
+    let setup = Setup {
+        voters: 5,
+        ..setup(spares, losses, stops)
+    };
+    let outcome = search::run(&setup);
+    println!(
+        "spread rule, five voters, {spares} spares: {} states, {} steps",
+        outcome.states, outcome.steps
+    );
+    let found = outcome.counterexample;
+    assert!(found.is_none(), "{}", found.unwrap());
+    assert!(outcome.states > 100);
+}
+
 #[test_case(Mutant::GrowsByOne, "leaves no quorum"; "grows by one")]
 #[test_case(Mutant::LeavingRemovedFirst, "leaves no quorum"; "a leaving voter is removed first")]
 #[test_case(Mutant::IncarnationReused, "newest committed entry"; "a host without records votes again")]
