control: entry hosts keep connections to the voters and to their own domain

Change: control hosts name the voters and the domain's learners as contacts; all voters know all entry hosts, so their number stays right when the leader changes. One control host of the domain, chosen by a hash, sends each notice at once, the others once a second. Targets are spread over the control hosts of their domain the same way. A control host that is not a member, or whose state has never been current, sends targets to the leader: it might lack the service, and answer without their leases.

Old entry hosts connect to the hosts that they are named, as before.

--- a/crates/yucca-fleet/src/control/announce.rs
+++ b/crates/yucca-fleet/src/control/announce.rs
@@ -20,9 +20,12 @@
         target: target::Target,
         heartbeat: lease::Heartbeat,
     ) -> Result<operator::Answer, message::Refusal> {
-        let domain = target.domain.clone();
+        // A state that has never been current may lack the service, and then renews no lease.
+        if !self.replica.status().member || !self.has_caught_up() {
+            return Err(message::Refusal::NotLeader);
+        }
+        let next = Some(self.nearest(&target.domain, &target.instance.name));
         let request = self.leader_request(target, &heartbeat);
-        let next = Some(self.nearest(&domain));
         if request.announced.is_none() && request.heartbeat.is_none() {
             return Ok(operator::Answer::Announced { grants: None, next });
         }
--- a/crates/yucca-fleet/src/control/leader.rs
+++ b/crates/yucca-fleet/src/control/leader.rs
@@ -10,6 +10,7 @@
 use yucca_own::site::{item, lease};
 use yucca_wire::id;
 
+use crate::contact;
 use crate::control::Core;
 use crate::mesh::message;
 use crate::mutex::lock;
@@ -82,20 +83,18 @@
         }
     }
 
-    /// Returns the address at which a target of a domain should announce itself: that of a
-    /// connected control host of the domain, or else of this host.
-    pub(super) fn nearest(&self, domain: &item::Name) -> net::SocketAddr {
+    /// Returns the address at which a target of a domain should announce itself: this host if it is
+    /// in the domain, or else a connected control host there, if any.
+    pub(super) fn nearest(&self, domain: &item::Name, target: &item::Name) -> net::SocketAddr {
         let own = net::SocketAddr::new(self.settings.ip, self.operator_port);
         if domain.0 == self.settings.domain.as_str() {
             return own;
         }
-        let peers = lock(&self.peers);
-        let near = peers.values().find(|peer| {
-            let hello = peer.hello();
-            hello.role == message::Role::Control && hello.domain.as_str() == domain.0
-        });
-        near.map_or(own, |near| {
-            net::SocketAddr::new(near.hello().ip, self.operator_port)
-        })
+        let Ok(domain) = domain.0.parse() else {
+            return own;
+        };
+        let controls = self.near_controls(&lock(&self.peers), &domain);
+        let near = contact::source(&controls, target.0.as_str());
+        near.map_or(own, |near| net::SocketAddr::new(near, self.operator_port))
     }
 }
--- a/crates/yucca-fleet/src/control/peer.rs
+++ b/crates/yucca-fleet/src/control/peer.rs
@@ -12,6 +12,7 @@
 use yucca_own::site::{delta, item, range};
 use yucca_wire::id;
 
+use crate::contact;
 use crate::control::Core;
 use crate::mesh::{link, message};
 use crate::mutex::lock;
@@ -23,8 +24,9 @@
 /// by the number of connected processes, which limits the rate of notices.
 const GATHER_TIME: time::Duration = time::Duration::from_millis(1);
 
-/// Minimum interval between notices to entry hosts in other domains, as traffic between domains is
-/// expensive. Those hosts get notices from a control host of their own domain, or poll.
+/// Minimum interval between notices to entry hosts that get each notice from another control host:
+/// those in other domains, as traffic between domains is expensive, and those in this domain of
+/// which another control host is the [`contact::source`]. They poll if it falls silent.
 const FAR_NOTICE_INTERVAL: time::Duration = NOTICE_INTERVAL;
 
 /// Process that is connected to this one.
@@ -187,37 +189,75 @@
             let peers = lock(&self.peers).len();
             tokio::time::sleep(GATHER_TIME * peers as u32).await;
             status.mark_unchanged();
+            self.dial_members();
             self.notify_entries();
         }
     }
 
+    /// Opens connections to all members, so that this host can take over any role at once.
+    fn dial_members(&self) {
+        let members = self.replica.status().members;
+        let ips = members
+            .iter()
+            .filter_map(|member| member.host.as_str().parse().ok());
+        let ips: Vec<net::IpAddr> = ips.collect();
+        self.transport.dial(&ips);
+    }
+
     fn notify_entries(&self) {
         let notice = self.notice();
-        let status = self.replica.status();
-        let members = status.members.iter();
-        let controls = members.filter_map(|member| member.host.as_str().parse().ok());
-        let controls: Vec<net::IpAddr> = controls.collect();
+        let members = self.replica.status().members;
+        let directory = self.hosts.load();
         let now = self.clock.now();
         let mut peers = lock(&self.peers);
-        let domains = entries_by_domain(peers.values());
-        let entries = domains.values().map(BTreeSet::len).sum();
+        let entries = entries_by_domain(peers.values());
+        let count = entries.values().map(BTreeSet::len).sum();
+        let mut contacts: IndexMap<id::Domain, Vec<net::IpAddr>> = IndexMap::new();
+        for domain in entries.keys() {
+            let named = contact::contacts(&members, &directory, domain);
+            contacts.insert(domain.clone(), named);
+        }
+        let sources = self.near_controls(&peers, &self.settings.domain);
         for peer in peers.values_mut() {
-            if peer.hello.role == message::Role::Entry {
-                let near = peer.hello.domain == self.settings.domain;
-                if near || now >= peer.notified_at + FAR_NOTICE_INTERVAL {
-                    peer.notified_at = now;
-                    let near = domains.get(&peer.hello.domain);
-                    let hosts = message::Hosts {
-                        controls: controls.clone(),
-                        near: near.into_iter().flatten().copied().collect(),
-                        entries,
-                    };
-                    peer.notify(&notice, hosts);
-                }
+            if peer.hello.role != message::Role::Entry {
+                continue;
+            }
+            let near = peer.hello.domain == self.settings.domain;
+            let source = near && contact::source(&sources, peer.hello.ip) == Some(self.settings.ip);
+            if source || now >= peer.notified_at + FAR_NOTICE_INTERVAL {
+                peer.notified_at = now;
+                let domain = &peer.hello.domain;
+                let hosts = message::Hosts {
+                    controls: contacts.get(domain).cloned().unwrap_or_default(),
+                    near: entries.get(domain).into_iter().flatten().copied().collect(),
+                    entries: count,
+                };
+                peer.notify(&notice, hosts);
             }
         }
     }
 
+    /// Returns the members of the log in a domain that this host is connected to, or is itself.
+    pub(super) fn near_controls(
+        &self,
+        peers: &IndexMap<link::Id, Peer>,
+        domain: &id::Domain,
+    ) -> BTreeSet<net::IpAddr> {
+        let members = self.replica.status().members;
+        let connected = peers
+            .values()
+            .filter(|peer| peer.hello.role == message::Role::Control)
+            .map(|peer| (&peer.hello.domain, peer.hello.ip));
+        let own = (&self.settings.domain, self.settings.ip);
+        let all = connected.chain([own]).filter(|(of, _)| *of == domain);
+        let all = all.map(|(_, ip)| ip);
+        all.filter(|ip| {
+            let mut members = members.iter();
+            members.any(|member| member.host.as_str().parse() == Ok(*ip))
+        })
+        .collect()
+    }
+
     /// Notifies entry hosts of stripes that their owner is about to release. Entry hosts in another
     /// domain are notified through one control host there. A host that misses the notice learns of
     /// the move when the owner answers that it does not hold the key.
@@ -268,7 +308,7 @@
         }
     }
 
-    fn has_caught_up(&self) -> bool {
+    pub(super) fn has_caught_up(&self) -> bool {
         let known = self.caught_up.load(atomic::Ordering::Relaxed);
         if known || !is_current(&self.replica.status()) {
             return known;
--- a/crates/yucca-fleet/src/lib.rs
+++ b/crates/yucca-fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! callers, targets and operators are behind the traits of [`dialect`].
 
 pub mod clock;
+pub mod contact;
 pub mod control;
 pub mod dialect;
 pub mod entry;
