lane, entry: groups of hosts that know each other's load

Cause: the hosts of a domain sent each other digests of their load, with 57 hosts each half second, and a keyed owner's load was that of the domain times five. Hosts that chose by digests of half a second ago all chose the same targets.

Change: - The hosts of a domain form groups of ten at most (shared::cell), which send digests to each other only and prefer the same near targets for requests without a key, at least four. - If most hosts are unknown (more than three for each known one), the load of a keyed owner isn't extrapolated: it queues a few requests, and refuses. - Near targets of other groups are assumed to be as loaded as the own ones. To targets outside the group a request goes only if it is likely in time there, by the times and refusals of the last half second. - A request doesn't queue where it would be late.

Deployments with up to ten hosts in a domain form one group.

--- a/crates/yucca-fleet/src/entry/dispatcher.rs
+++ b/crates/yucca-fleet/src/entry/dispatcher.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use rand::Rng;
 use tokio::sync::{Notify, oneshot};
-use yucca_lane::shared::{limit, service, target, window};
+use yucca_lane::shared::{cell, limit, service, target, window};
 use yucca_own::site::{balance, delta, item, range, target as site};
 use yucca_wire::{id, unit};
 
@@ -63,8 +63,15 @@
         });
     }
 
-    /// Sets the number of requests that other hosts of this domain have at targets. Hosts of other
-    /// domains are assumed to have `far` times as many as this domain, see
+    /// Sets the group of this host, which decides which targets it prefers.
+    pub fn set_cell(&self, cell: cell::Cell) {
+        for queue in lock(&self.queues).values_mut() {
+            queue.service.set_cell(cell);
+        }
+    }
+
+    /// Sets the number of requests that the other hosts of this host's group have at targets. All
+    /// others are assumed to have `far` times as many as the group, see
     /// [`service::Service::set_others`].
     pub fn set_others(&self, loads: &IndexMap<site::Number, u32>, far: f64, now: time::Duration) {
         let names: Vec<item::Name> = lock(&self.queues).keys().cloned().collect();
@@ -96,7 +103,7 @@
         all.collect()
     }
 
-    /// Returns the measurements of targets since the last call, for the other hosts of this domain.
+    /// Returns the measurements of targets since the last call, for the other hosts of the group.
     pub fn take_unshared(&self) -> Vec<(site::Number, target::Measurement)> {
         let mut queues = lock(&self.queues);
         let queues = queues.values_mut();
@@ -105,7 +112,7 @@
             .collect()
     }
 
-    /// Adds a measurement of a target by another host of this domain.
+    /// Adds a measurement of a target by another host of the group.
     pub fn add_measurement(&self, number: site::Number, measurement: target::Measurement) {
         for queue in lock(&self.queues).values_mut() {
             queue.service.add_measurement(number, measurement);
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -345,10 +345,8 @@
         let near = controls.clone().flat_map(|control| &control.hosts.near);
         let near: IndexSet<net::IpAddr> = near.filter(|ip| **ip != own).copied().collect();
         let entries = controls.map(|control| control.hosts.entries).max();
-        let peers = gossip::Peers {
-            far: entries.unwrap_or(0).saturating_sub(near.len() + 1),
-            near,
-        };
+        let far = entries.unwrap_or(0).saturating_sub(near.len() + 1);
+        let peers = gossip::Peers::new(own, near, far);
         lock(&self.core.host_peak).record(peers.count() + 1, self.core.clock.now());
         if peers != **self.core.peers.load() {
             self.core.peers.store(sync::Arc::new(peers));
--- a/crates/yucca-fleet/src/entry/gossip.rs
+++ b/crates/yucca-fleet/src/entry/gossip.rs
@@ -1,4 +1,4 @@
-//! Load digests: entry hosts of a domain send each other how many requests they have at each
+//! Load digests: the entry hosts of a group send each other how many requests they have at each
 //! target.
 
 use std::net;
@@ -7,7 +7,7 @@
 
 use indexmap::{IndexMap, IndexSet};
 use tokio::net::UdpSocket;
-use yucca_lane::shared::target;
+use yucca_lane::shared::{cell, target};
 use yucca_own::site::target as site;
 
 use crate::entry::Core;
@@ -36,11 +36,36 @@
 pub struct Peers {
     /// The entry hosts in this host's domain.
     pub near: IndexSet<net::IpAddr>,
+    /// Those of them that are in this host's group.
+    pub group: Vec<net::IpAddr>,
+    /// The group.
+    pub cell: cell::Cell,
     /// Number of entry hosts in other domains.
     pub far: usize,
 }
 
 impl Peers {
+    /// Returns the other entry hosts of `own`: those in its domain, and a number of others.
+    pub fn new(own: net::IpAddr, near: IndexSet<net::IpAddr>, far: usize) -> Self {
+        let mut hosts: Vec<net::IpAddr> = near.iter().copied().chain([own]).collect();
+        hosts.sort_unstable();
+        let cell = |rank| cell::Cell::of(rank, hosts.len());
+        let rank = hosts.binary_search(&own).unwrap_or(0);
+        let group = hosts.iter().enumerate();
+        let group = group.filter(|(other, ip)| **ip != own && cell(*other) == cell(rank));
+        Self {
+            group: group.map(|(_, ip)| *ip).collect(),
+            cell: cell(rank),
+            near,
+            far,
+        }
+    }
+
+    /// Returns the number of other entry hosts for each one of this host's group.
+    fn outside(&self) -> f64 {
+        (self.count() - self.group.len()) as f64 / (self.group.len() + 1) as f64
+    }
+
     /// Returns the number of other entry hosts.
     pub fn count(&self) -> usize {
         self.near.len() + self.far
@@ -98,8 +123,8 @@
     }
 }
 
-/// Sender of this host's load to the other hosts of its domain. Traffic between domains is
-/// expensive, so the load of hosts in other domains is extrapolated instead.
+/// Sender of this host's load to the other hosts of its group. Traffic between domains is expensive,
+/// and each datagram costs processor time, so the load of further hosts is extrapolated instead.
 #[derive(Default)]
 struct Sender {
     sequence: u64,
@@ -111,7 +136,7 @@
     fn send(&mut self, core: &Core, socket: &UdpSocket) {
         let now = core.clock.now();
         let peers = core.peers.load();
-        let pause = time::Duration::from_secs_f64(peers.near.len() as f64 / MAX_RATE);
+        let pause = time::Duration::from_secs_f64(peers.group.len() as f64 / MAX_RATE);
         if now < self.sent_at + pause {
             return;
         }
@@ -136,7 +161,7 @@
         };
         match rmp_serde::to_vec(&load) {
             Ok(datagram) => {
-                for ip in &peers.near {
+                for ip in &peers.group {
                     let address = core.settings.mesh_address(*ip);
                     // A digest that can't be sent counts as lost.
                     socket.try_send_to(&datagram, address).ok();
@@ -186,6 +211,6 @@
         }
     }
     let peers = core.peers.load();
-    let far = peers.far as f64 / (peers.near.len() + 1) as f64;
-    core.dispatcher.set_others(&others, far, now);
+    core.dispatcher.set_cell(peers.cell);
+    core.dispatcher.set_others(&others, peers.outside(), now);
 }
--- a/crates/yucca-lane/src/shared.rs
+++ b/crates/yucca-lane/src/shared.rs
@@ -4,6 +4,7 @@
 //! themselves, so several senders are safe; the load figures that hosts exchange only improve the
 //! decisions. A [`service::Service`] takes events and the time, and returns [`service::Decision`]s.
 
+pub mod cell;
 pub mod limit;
 pub mod quarantine;
 pub mod service;
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -8,7 +8,7 @@
 use yucca_wire::{id, unit};
 
 use crate::estimate;
-use crate::shared::{limit, target};
+use crate::shared::{cell, limit, target};
 
 /// Maximum number of requests at a target beyond its slots. They hide the network round trip.
 const QUEUE_DEPTH: u32 = 1;
@@ -28,6 +28,19 @@
 /// the pause.
 const DENIAL_MEMORY: time::Duration = time::Duration::from_secs(1);
 
+/// Weight of a new answer in the time that targets outside this host's group are expected to take.
+const OUTSIDE_WEIGHT: f64 = 0.5;
+
+/// Time constant with which that time returns to the usual one while there are no answers.
+const OUTSIDE_WINDOW: time::Duration = time::Duration::from_millis(500);
+
+/// Number of service times that a refusal by such a target counts as.
+const OUTSIDE_REFUSAL_TIMES: f64 = 5.0;
+
+/// Minimum number of targets that a group of hosts prefers. With fewer, one that is slow or lost
+/// would make up too much of them.
+const MIN_CELL_TARGETS: usize = 4;
+
 /// Divisor of the remaining time, which gives the time after which a refused caller should retry.
 const RETURN_DIVISOR: u32 = 3;
 
@@ -42,6 +55,11 @@
 /// cannot be in time.
 const MIN_WAIT_DIVISOR: u32 = 4;
 
+/// Maximum number of unknown requests that are assumed for each known one. Load pattern: of 285
+/// hosts, one knows the load of nine others, as often as its link and its processor allow. Each
+/// request of those would count as thirty, and an idle target as full.
+const MAX_EXTRAPOLATION: f64 = 3.0;
+
 /// Part of a target's limit that the hosts of its domain use if its service is not divided by key.
 /// Those of other domains send to it only when their own targets have no room.
 const NEAR_SHARE: f64 = 0.75;
@@ -158,6 +176,54 @@
     times: estimate::Estimate,
     /// Number of requests by key since the last report.
     demand: IndexMap<u16, u32>,
+    /// The group of this host among those of its domain.
+    cell: cell::Cell,
+    /// Targets that this host's group does not prefer.
+    outside: Outside,
+}
+
+/// Targets outside a host's group, of whose load it knows nothing: the time that they have recently
+/// taken, including waits.
+///
+/// Load pattern: more is offered than all targets of the deployment can do. The targets of other
+/// groups and domains always seem to have room, but requests sent there are late or refused. While
+/// only this domain has too much, they are served in time.
+#[derive(Debug, Clone, Copy, Default)]
+struct Outside {
+    /// Excess over the usual service time, in seconds.
+    excess: f64,
+    updated: time::Duration,
+}
+
+impl Outside {
+    fn excess(&self, now: time::Duration) -> f64 {
+        let passed = now.saturating_sub(self.updated).as_secs_f64();
+        self.excess * (-passed / OUTSIDE_WINDOW.as_secs_f64()).exp()
+    }
+
+    fn record(&mut self, excess: f64, now: time::Duration) {
+        let before = self.excess(now);
+        self.excess = before + (excess.max(0.0) - before) * OUTSIDE_WEIGHT;
+        self.updated = now;
+    }
+
+    fn record_answer(
+        &mut self,
+        took: time::Duration,
+        typical: time::Duration,
+        now: time::Duration,
+    ) {
+        self.record(took.as_secs_f64() - typical.as_secs_f64(), now);
+    }
+
+    fn record_refusal(&mut self, typical: time::Duration, now: time::Duration) {
+        self.record(typical.as_secs_f64() * OUTSIDE_REFUSAL_TIMES, now);
+    }
+
+    /// Returns the time that one more request is expected to take there.
+    fn expected_time(&self, typical: time::Duration, now: time::Duration) -> time::Duration {
+        typical + time::Duration::from_secs_f64(self.excess(now))
+    }
 }
 
 impl Service {
@@ -171,6 +237,33 @@
                 .and_modify(|target| target.facts = *fact)
                 .or_insert_with(|| target::Target::new(*fact));
         }
+        self.prefer();
+    }
+
+    /// Sets the group of this host, which decides which targets it prefers.
+    pub fn set_cell(&mut self, cell: cell::Cell) {
+        if self.cell != cell {
+            self.cell = cell;
+            self.prefer();
+        }
+    }
+
+    /// Divides the near targets over the groups of hosts, each group at least [`MIN_CELL_TARGETS`].
+    fn prefer(&mut self) {
+        let mut near: Vec<site::Number> = self
+            .targets
+            .values()
+            .filter(|target| target.facts.near)
+            .map(|target| target.facts.number)
+            .collect();
+        near.sort_unstable();
+        let most = (near.len() / MIN_CELL_TARGETS).max(1);
+        let count = self.cell.count.clamp(1, most);
+        for (rank, number) in near.into_iter().enumerate() {
+            if let Some(target) = self.targets.get_mut(&number) {
+                target.preferred = rank % count == self.cell.index % count;
+            }
+        }
     }
 
     /// Sets whether the service is divided by key.
@@ -199,20 +292,40 @@
         }
     }
 
-    /// Sets the number of requests that this domain's other hosts have at the targets. Requests
-    /// with a key go to its owner from every domain alike, so hosts of other domains are assumed to
-    /// have `far` times the recent average of this domain; their present number is independent of
-    /// it. Services without keys use near targets while these have room, so `far` does not apply.
+    /// Sets the number of requests that the other hosts of this host's group have at the targets.
+    ///
+    /// Requests with a key go to its owner from every group alike, so the other hosts, `far` times
+    /// as many as those of the group, are assumed to have as much as the recent average of the
+    /// group, unless they are more than [`MAX_EXTRAPOLATION`] times as many. Services without keys
+    /// use preferred targets while these have room, so `far` does not apply; near targets of other
+    /// groups are assumed to be as loaded as those of this one.
     pub fn set_others(
         &mut self,
         loads: &IndexMap<site::Number, u32>,
         far: f64,
         now: time::Duration,
     ) {
-        let far = if self.keyed { far } else { 0.0 };
+        let extrapolated = self.keyed && far <= MAX_EXTRAPOLATION;
+        let far = if extrapolated { far } else { 0.0 };
         for (number, target) in &mut self.targets {
-            let near = loads.get(number).copied().unwrap_or(0);
-            target.set_others(near, far, now);
+            let known = loads.get(number).copied().unwrap_or(0);
+            target.set_others(known, far, now);
+        }
+        if !self.keyed {
+            self.assume_equal_load();
+        }
+    }
+
+    fn assume_equal_load(&mut self) {
+        let preferred = self.targets.values().filter(|target| target.preferred);
+        let (count, load) = preferred.fold((0_u32, 0), |(count, load), target| {
+            (count + 1, load + target.load())
+        });
+        let mean = (load + count / 2).checked_div(count).unwrap_or(0);
+        for target in self.targets.values_mut() {
+            if target.facts.near && !target.preferred {
+                target.others = target.others.max(mean);
+            }
         }
     }
 
@@ -355,9 +468,17 @@
                     if target.record_answer(took) {
                         self.times.record(took);
                     }
+                    if !target.preferred {
+                        self.outside.record_answer(took, typical, now);
+                    }
                 }
                 Outcome::Failed => target.record_failure(now),
-                Outcome::Shed => target.record_refusal(typical, now),
+                Outcome::Shed => {
+                    target.record_refusal(typical, now);
+                    if !target.preferred {
+                        self.outside.record_refusal(typical, now);
+                    }
+                }
                 Outcome::NotOwner { .. } => target.record_not_owner(typical, now),
                 Outcome::Dropped => {}
             }
@@ -570,28 +691,36 @@
         (has_room(target) && target.is_usable(now)).then_some((owner, Some(stripe.token)))
     }
 
-    /// Returns the best target for a request without a key. Near targets with a free slot go first,
-    /// then near ones where it would queue and still be in time, as this saves traffic between
-    /// domains, then far ones, and last those where it would be late. Of equally good targets two
-    /// are drawn and the faster one is taken, so that hosts with the same information do not all
-    /// choose the same target.
+    /// Returns the best target for a request without a key. Preferred targets with a free slot go
+    /// first, then those where it would queue and still be in time, then other near ones in the same
+    /// order, as this saves traffic between domains, then far ones. It never queues where it would be
+    /// late: others that are still in time would wait behind it. Of equally good targets two are
+    /// drawn and the faster one is taken, so that hosts with the same information do not all choose
+    /// the same target.
     fn best(&self, request: &Request, now: time::Duration) -> Option<site::Number> {
         let may_take = |target: &&target::Target| {
             has_room(target) && !request.tried.contains(&target.facts.number)
         };
         let targets = || self.targets.values().filter(may_take);
-        let usable: Vec<&target::Target> = targets().filter(|t| t.is_usable(now)).collect();
+        let typical = self.typical();
+        let outside = self.may_go_outside(request, now);
+        let queued = |target: &target::Target| target.load() >= target.facts.slots;
+        let late = |target: &target::Target| {
+            queued(target) && now + target.expected_time(typical) > request.objective_at
+        };
+        let usable: Vec<&target::Target> = targets()
+            .filter(|target| target.is_usable(now))
+            .filter(|target| target.preferred || outside)
+            .collect();
         if usable.is_empty() {
             return self.least_suspect(targets(), now);
         }
-        let typical = self.typical();
-        let rank = |target: &&target::Target| {
-            let queued = target.load() >= target.facts.slots;
-            let late = queued && now + target.expected_time(typical) > request.objective_at;
-            (late, !target.facts.near, queued)
-        };
-        let best = usable.iter().map(rank).min()?;
-        let equal: Vec<&&target::Target> = usable.iter().filter(|t| rank(t) == best).collect();
+        let rank =
+            |target: &&target::Target| (!target.facts.near, !target.preferred, queued(target));
+        let in_time = usable.into_iter().filter(|target| !late(target));
+        let in_time: Vec<&target::Target> = in_time.collect();
+        let best = in_time.iter().map(rank).min()?;
+        let equal: Vec<&&target::Target> = in_time.iter().filter(|t| rank(t) == best).collect();
         let drawn = [0, 1].map(|draw| equal[draw_index(request.number, draw, equal.len())]);
         let chosen = drawn
             .into_iter()
@@ -601,6 +730,14 @@
 }
 
 impl Service {
+    /// Returns whether a request without a key may go to a target that this host's group does not
+    /// prefer: if it is likely in time there, or if no preferred target is up.
+    fn may_go_outside(&self, request: &Request, now: time::Duration) -> bool {
+        let expected = self.outside.expected_time(self.typical(), now);
+        let mut preferred = self.targets.values().filter(|target| target.preferred);
+        now + expected <= request.objective_at || !preferred.any(|target| target.is_up(now))
+    }
+
     /// Returns the target to try when all are paused after failures. Load pattern: each target has
     /// failed once, during a short fault of this host or of all targets. Without this, no target
     /// would be tried and every request would be refused.
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -51,6 +51,8 @@
     pub own: u32,
     /// Estimated number of unanswered requests of all other hosts.
     pub others: u32,
+    /// Whether this host's group sends requests without a key here first.
+    pub preferred: bool,
     /// Time until which it gets no request, after failures or refusals.
     pub paused_until: time::Duration,
     failures: u32,
@@ -100,6 +102,7 @@
             facts,
             own: 0,
             others: 0,
+            preferred: facts.near,
             paused_until: time::Duration::ZERO,
             failures: 0,
             refusals: 0,
@@ -114,8 +117,8 @@
         }
     }
 
-    /// Sets the number of requests of this domain's other hosts. Hosts of other domains are assumed
-    /// to have `far` times as many as this domain has on average.
+    /// Sets the number of requests of the other hosts whose load is known. All others are assumed to
+    /// have `far` times as many as those and this host have on average.
     pub fn set_others(&mut self, near: u32, far: f64, now: time::Duration) {
         self.near.update(f64::from(near + self.own), now);
         let elsewhere = self.near.average() * far;
