entry: targets that say in their answers that they leave

Cause: nothing read Server-Leaving. A target whose announcements don't say that it drains, or don't arrive, got requests from all hosts until it ended.

Change: the target's dialect decodes the flag, in trusted answers only; other values are counted and ignored. From the first one on, requests without a key go to other targets; a key's owner, or the only target, gets some for 1.5 s, in which its keys are handed over, then none. The word counts for the instance and is never taken back.

Control doesn't learn of it from entry hosts: keys of a target that says it only in its answers are not handed over early, and each host finds out by itself.

--- a/crates/yucca-fleet/src/dialect/target.rs
+++ b/crates/yucca-fleet/src/dialect/target.rs
@@ -54,4 +54,10 @@
     /// # Errors
     /// Fails if what it says is not a time.
     fn rest(&self, parts: &response::Parts) -> Result<Option<time::Duration>, unit::Error>;
+
+    /// Returns whether a target says in an answer that it leaves.
+    ///
+    /// # Errors
+    /// Fails if what it says is neither yes nor no.
+    fn leaves(&self, headers: &HeaderMap) -> Result<bool, unit::Error>;
 }
--- a/crates/yucca-fleet/src/entry/dispatcher.rs
+++ b/crates/yucca-fleet/src/entry/dispatcher.rs
@@ -216,6 +216,21 @@
         began
     }
 
+    /// Records that a target said that it leaves. Returns whether it had not said so before.
+    pub fn set_leaving(
+        &self,
+        name: &item::Name,
+        target: site::Number,
+        now: time::Duration,
+    ) -> bool {
+        let mut began = false;
+        self.with_queue(name, |queue| {
+            began = queue.service.set_leaving(target, now);
+            Vec::new()
+        });
+        began
+    }
+
     /// Records the outcome of a request that was sent.
     pub fn finish(
         &self,
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -407,6 +407,7 @@
                 history.record(&target.name, history::describe(verdict));
                 let took = self.clock.now().saturating_sub(start);
                 self.record_limit(job, number, &target.name, &parts, verdict);
+                self.record_leaving(job, number, &target.name, &parts, verdict);
                 if verdict == target::Verdict::Shed {
                     self.record_rest(job, number, &target.name, &parts);
                 }
@@ -458,7 +459,7 @@
         verdict: target::Verdict,
     ) {
         let ran = matches!(verdict, target::Verdict::Answer | target::Verdict::Failure);
-        let trusted = ran || matches!(verdict, target::Verdict::Shed | target::Verdict::NotOwner);
+        let trusted = is_from_target(verdict);
         let stated = match self.target.limit(&parts.headers) {
             Ok(stated) => stated,
             Err(error) => {
@@ -495,6 +496,34 @@
         }
     }
 
+    /// Records that a target says that it leaves, which it does in all answers from then on.
+    fn record_leaving(
+        &self,
+        job: &Job,
+        number: site::Number,
+        target: &item::Name,
+        parts: &response::Parts,
+        verdict: target::Verdict,
+    ) {
+        if !is_from_target(verdict) {
+            return;
+        }
+        match self.target.leaves(&parts.headers) {
+            Ok(true) => {
+                let now = self.clock.now();
+                if self.dispatcher.set_leaving(&job.service, number, now) {
+                    metrics::counter!("yucca_entry_leaving_targets_total").increment(1);
+                    log::info!("target={target} says that it leaves");
+                }
+            }
+            Ok(false) => {}
+            Err(error) => {
+                metrics::counter!("yucca_entry_invalid_leaving_total").increment(1);
+                log::debug!("target={target} leaving ignored: {error}");
+            }
+        }
+    }
+
     /// Applies the rest that a target asks for in a refusal.
     fn record_rest(
         &self,
@@ -557,6 +586,17 @@
     }
 }
 
+/// Returns whether an answer is the target's own, so that what it says of itself counts.
+fn is_from_target(verdict: target::Verdict) -> bool {
+    match verdict {
+        target::Verdict::Answer
+        | target::Verdict::Failure
+        | target::Verdict::Shed
+        | target::Verdict::NotOwner => true,
+        target::Verdict::WrongTarget | target::Verdict::Untrusted => false,
+    }
+}
+
 fn outcome(
     verdict: target::Verdict,
     took: time::Duration,
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -454,6 +454,16 @@
         began
     }
 
+    /// Records that a target said that it leaves. Returns whether it had not said so before.
+    pub fn set_leaving(&mut self, number: site::Number, now: time::Duration) -> bool {
+        let Some(target) = self.targets.get_mut(&number) else {
+            return false;
+        };
+        let began = !target.leaves();
+        target.leave(now);
+        began
+    }
+
     /// Records the outcome of a request and returns the decisions that are due.
     pub fn finish(
         &mut self,
@@ -691,7 +701,8 @@
         (has_room(target) && target.is_usable(now)).then_some((owner, Some(stripe.token)))
     }
 
-    /// Returns the best target for a request without a key. Preferred targets with a free slot go
+    /// Returns the best target for a request without a key; one that leaves only if there is no other.
+    /// Preferred targets with a free slot go
     /// first, then those where it would queue and still be in time, then other near ones in the same
     /// order, as this saves traffic between domains, then far ones. It never queues where it would be
     /// late: others that are still in time would wait behind it. Of equally good targets two are
@@ -715,8 +726,10 @@
         if usable.is_empty() {
             return self.least_suspect(targets(), now);
         }
-        let rank =
-            |target: &&target::Target| (!target.facts.near, !target.preferred, queued(target));
+        let rank = |target: &&target::Target| {
+            let far = !target.facts.near;
+            (target.leaves(), far, !target.preferred, queued(target))
+        };
         let in_time = usable.into_iter().filter(|target| !late(target));
         let in_time: Vec<&target::Target> = in_time.collect();
         let best = in_time.iter().map(rank).min()?;
@@ -750,7 +763,8 @@
             return None;
         }
         let suspects = targets
-            .filter(|target| target.is_suspect() && target.limit_allows(now) && !target.rests(now));
+            .filter(|target| target.is_suspect() && target.limit_allows(now) && !target.rests(now))
+            .filter(|target| !target.has_left(now));
         let first = suspects.min_by_key(|target| target.paused_until);
         first.map(|target| target.facts.number)
     }
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -29,6 +29,11 @@
 /// Age of a limit from which on keys move to other targets.
 const LASTING_LIMIT: time::Duration = time::Duration::from_secs(5);
 
+/// Time for which a target that leaves still gets requests that no other target can take: its keys
+/// are handed over within two heartbeats. It is shorter than the shortest time for which leaving
+/// targets are known to serve.
+const LEAVING_GRACE: time::Duration = time::Duration::from_millis(1_500);
+
 /// Properties of a target, from the configuration and its announcements.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Facts {
@@ -72,6 +77,8 @@
     limit: Option<limit::Limit>,
     /// Time until which it wants no request from this host.
     rests_until: time::Duration,
+    /// When it first said that it leaves, if it did. It never stays after that.
+    leaves_since: Option<time::Duration>,
 }
 
 /// Number of answers and their total service time.
@@ -114,6 +121,7 @@
             unshared: Measurement::default(),
             limit: None,
             rests_until: time::Duration::ZERO,
+            leaves_since: None,
         }
     }
 
@@ -138,7 +146,23 @@
 
     /// Returns whether it may get a request.
     pub fn is_usable(&self, now: time::Duration) -> bool {
-        self.is_up(now) && self.limit_allows(now) && !self.rests(now)
+        self.is_up(now) && self.limit_allows(now) && !self.rests(now) && !self.has_left(now)
+    }
+
+    /// Returns whether it said that it leaves.
+    pub fn leaves(&self) -> bool {
+        self.leaves_since.is_some()
+    }
+
+    /// Returns whether it gets no further request because it leaves.
+    pub fn has_left(&self, now: time::Duration) -> bool {
+        let since = self.leaves_since;
+        since.is_some_and(|since| now >= since + LEAVING_GRACE)
+    }
+
+    /// Records that it said that it leaves.
+    pub fn leave(&mut self, now: time::Duration) {
+        self.leaves_since.get_or_insert(now);
     }
 
     /// Returns whether it wants no request at this time.
--- a/crates/yucca-wire/src/unit.rs
+++ b/crates/yucca-wire/src/unit.rs
@@ -32,6 +32,11 @@
         /// The rejected text.
         text: String,
     },
+    /// The text is neither yes nor no.
+    Flag {
+        /// The rejected text.
+        text: String,
+    },
 }
 
 impl fmt::Display for Error {
@@ -43,6 +48,7 @@
                     "{text:?} is not a span of time; write it as \"250ms\" or \"2s\""
                 )
             }
+            Self::Flag { text } => write!(f, "{text:?} is not a flag; write it as \"1\" or \"0\""),
             Self::Size { text } => {
                 write!(
                     f,
