--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -340,7 +340,7 @@
         }
     }
 
-    /// Returns the measurements since the last call, for the other hosts of this domain.
+    /// Returns the measurements since the last call, for the other hosts of the group.
     pub fn take_unshared(&mut self) -> Vec<(site::Number, target::Measurement)> {
         let targets = self.targets.iter_mut();
         let measures = targets.map(|(number, target)| (*number, target.take_unshared()));
--- a/crates/yucca-lane/src/shared/target.rs
+++ b/crates/yucca-lane/src/shared/target.rs
@@ -65,13 +65,13 @@
     /// Whether it last refused a request while slots were free, as far as this host knows.
     shed_with_room: bool,
     times: estimate::Estimate,
-    /// Number of requests of this domain's hosts, averaged over about the last second.
+    /// Number of requests of the hosts whose load is known, averaged over about the last second.
     near: estimate::Average,
     /// Estimated average number of requests of all hosts.
     average: f64,
     /// Answers since the last report, for balancing keys.
     measured: Measurement,
-    /// Answers since the last digest, for the other hosts of this domain.
+    /// Answers since the last digest, for the other hosts of the group.
     unshared: Measurement,
     /// The limit that it states, if any.
     limit: Option<limit::Limit>,
@@ -279,7 +279,7 @@
         no_wait
     }
 
-    /// Adds a measurement of another host of this domain.
+    /// Adds a measurement of another host of the group.
     pub fn add_measurement(&mut self, measure: Measurement) {
         if let Some(mean) = measure.mean() {
             self.times.record_batch(measure.count, mean);
@@ -300,7 +300,7 @@
         measured
     }
 
-    /// Returns the measurement since the last call, for the other hosts of this domain.
+    /// Returns the measurement since the last call, for the other hosts of the group.
     pub fn take_unshared(&mut self) -> Measurement {
         std::mem::take(&mut self.unshared)
     }
