lane: a late request goes elsewhere if its group's targets may not be used

Cause: whether a request past its objective may go to targets outside the group was decided by whether a preferred one is up. One that leaves, rests or has used up its limit is up, but gets nothing, so such requests were refused although a target in another domain could serve them, late.

Change: decided by whether a preferred target may be used at all.

Evidence: host_groups: refused before with all targets of the group leaving, or resting; sent with this.

--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -701,13 +701,12 @@
         (has_room(target) && target.is_usable(now)).then_some((owner, Some(stripe.token)))
     }
 
-    /// Returns the best target for a request without a key; one that leaves only if there is no other.
-    /// Preferred targets with a free slot go
-    /// first, then those where it would queue and still be in time, then other near ones in the same
-    /// order, as this saves traffic between domains, then far ones. It never queues where it would be
-    /// late: others that are still in time would wait behind it. Of equally good targets two are
-    /// drawn and the faster one is taken, so that hosts with the same information do not all choose
-    /// the same target.
+    /// Returns the best target for a request without a key; one that leaves only if there is no
+    /// other. Preferred targets with a free slot go first, then those where it would queue and still
+    /// be in time, then other near ones in the same order, as this saves traffic between domains,
+    /// then far ones. It never queues where it would be late: others that are still in time would
+    /// wait behind it. Of equally good targets two are drawn and the faster one is taken, so that
+    /// hosts with the same information do not all choose the same target.
     fn best(&self, request: &Request, now: time::Duration) -> Option<site::Number> {
         let may_take = |target: &&target::Target| {
             has_room(target) && !request.tried.contains(&target.facts.number)
@@ -744,11 +743,11 @@
 
 impl Service {
     /// Returns whether a request without a key may go to a target that this host's group does not
-    /// prefer: if it is likely in time there, or if no preferred target is up.
+    /// prefer: if it is likely in time there, or if no preferred target may be used.
     fn may_go_outside(&self, request: &Request, now: time::Duration) -> bool {
         let expected = self.outside.expected_time(self.typical(), now);
         let mut preferred = self.targets.values().filter(|target| target.preferred);
-        now + expected <= request.objective_at || !preferred.any(|target| target.is_up(now))
+        now + expected <= request.objective_at || !preferred.any(|target| target.is_usable(now))
     }
 
     /// Returns the target to try when all are paused after failures. Load pattern: each target has
--- a/crates/yucca-lane/tests/host_groups.rs
+++ b/crates/yucca-lane/tests/host_groups.rs
@@ -120,6 +120,32 @@
     assert_eq!(decisions, [], "sent to be late or refused");
 }
 
+/// Load pattern: all targets of the group leave, rest or state a limit that is used up, and a request
+/// has waited for them past its objective. A target elsewhere can still serve it late.
+#[test]
+fn a_late_request_goes_elsewhere_if_no_target_of_the_group_may_be_used() {
+    let targets: Vec<target::Facts> = (0..5).map(|number| facts(number, number < 4)).collect();
+    for leaving in [true, false] {
+        let mut service = in_group(0, 1, &targets);
+        for number in 0..4 {
+            if leaving {
+                service.set_leaving(site::Number(number), ms(0));
+            } else {
+                service.set_rest(site::Number(number), ms(5_000), ms(0));
+            }
+        }
+        let mut late = request(1);
+        late.arrived = ms(2_000);
+        late.objective_at = ms(2_050);
+        late.limit_at = ms(3_500);
+        let decisions = service.arrive(late, ms(2_000));
+        let [service::Decision::Send { target, .. }] = decisions.as_slice() else {
+            panic!("leaving: {leaving}, {decisions:?}");
+        };
+        assert_eq!(target.0, 4);
+    }
+}
+
 /// Load pattern: a host knows the load of nine of 284 others. An owner with one request from those
 /// is not full, and a request for its key must not wait.
 #[test]
