--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -23,6 +23,7 @@
 /// A request with its retry: when it was first sent, and the last answer.
 #[derive(Debug, Clone)]
 pub struct Sample {
+    pub kind: &'static str,
     pub sent: Instant,
     pub status: u16,
 }
@@ -63,7 +64,11 @@
                     thread::spawn(move || {
                         let sent = Instant::now();
                         let status = request(&kind, &fronts, sent, &record);
-                        samples.lock().unwrap().push(Sample { sent, status });
+                        samples.lock().unwrap().push(Sample {
+                            kind: kind.name,
+                            sent,
+                            status,
+                        });
                     });
                 }
             });
--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::client::{Clients, Kind};
+use crate::client::{Clients, Kind, Sample};
 use crate::platform::{Platform, ZONES};
 use crate::{Record, server};
 
@@ -16,6 +16,7 @@
 pub fn run(name: &str, program: &str, trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     match name {
         "many-rows" => many_rows(program, trouble, record),
+        "many-rows-final" => many_rows_final(program, trouble, record),
         _ => Err(format!("there is no scenario {name}")),
     }
 }
@@ -23,17 +24,36 @@
 /// The operator's first call: a service that is divided by key, and one that is not.
 const CONFIG: &str = r#"{"upsert":{"resources":[{"resource-kind":"routes","metadata":{"name":"r-look","version":"r7"},"spec":{"host":"look.example","path-prefix":"/look/","route-type":"safe","timeout-s":1.2,"target-latency-s":0.4,"priority":2,"service":"desk","max-attempts":2}},{"resource-kind":"routes","metadata":{"name":"r-renew","version":"r7"},"spec":{"host":"renew.example","path-prefix":"/renew/","route-type":"unsafe","timeout-s":1.2,"target-latency-s":0.5,"priority":1,"service":"office","max-attempts":2}},{"resource-kind":"services","metadata":{"name":"desk","version":"r7"},"spec":{"health-path":"/health","max-connections":130,"protocol":"h1","tls":false,"sharded":true,"warm-s":2.0,"grants":"heartbeat"}},{"resource-kind":"services","metadata":{"name":"office","version":"r7"},"spec":{"health-path":"/health","max-connections":130,"protocol":"h1","tls":false}},{"resource-kind":"limits","metadata":{"version":"r7"},"spec":{"max-header-bytes":16384,"max-body-bytes":67108864,"header-timeout-s":3,"idle-timeout-s":15}}]},"remove":{"routes":[]}}"#;
 
-fn lookups(per_second: f64) -> Kind {
-    Kind {
-        name: "lookup",
-        method: "GET",
-        host: "look.example",
-        path: "/look/",
-        keyed: true,
-        deadline: Duration::from_millis(1_500),
-        per_second,
-    }
-}
+/// A route that the operator adds later.
+const ADDED: &str = r#"{"upsert":{"resources":[{"resource-kind":"routes","metadata":{"name":"r-added","version":"r9"},"spec":{"host":"added.example","path-prefix":"/added/","route-type":"safe","timeout-s":1.2,"target-latency-s":0.4,"priority":2,"service":"desk","max-attempts":2}}]},"remove":{"routes":[]}}"#;
+
+const LOOKUP: Kind = Kind {
+    name: "lookup",
+    method: "GET",
+    host: "look.example",
+    path: "/look/",
+    keyed: true,
+    deadline: Duration::from_millis(1_500),
+    per_second: 40.0,
+};
+
+const RENEWAL: Kind = Kind {
+    name: "renewal",
+    method: "POST",
+    host: "renew.example",
+    path: "/renew/",
+    keyed: false,
+    deadline: Duration::from_millis(2_000),
+    per_second: 20.0,
+};
+
+const ADDED_LOOKUP: Kind = Kind {
+    name: "added",
+    host: "added.example",
+    path: "/added/",
+    per_second: 5.0,
+    ..LOOKUP
+};
 
 type Servers = Vec<Arc<server::Server>>;
 
@@ -80,62 +100,138 @@
     Ok(())
 }
 
-/// Servers of a service that is divided by key are emptied and taken away, then the day ends with a
-/// final fault. Rule RECOVER: of the requests sent later than `recovery-s` after the machines are
-/// back, less than a quarter is served, though a quarter or more was before the final fault.
-///
-/// With TROUBLE=final, only the final fault comes.
-fn many_rows(program: &str, trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
-    const SERVERS: usize = 13;
-    const REMAIN: usize = 4;
-    const BEFORE: Duration = Duration::from_secs(28);
-    const DOWN: Duration = Duration::from_secs(1);
-    const RECOVERY: Duration = Duration::from_secs(15);
-    const AFTER: Duration = Duration::from_secs(25);
-    let shrinks = trouble && std::env::var("TROUBLE").as_deref() != Ok("final");
-    let mut platform = start_platform(program, record)?;
-    let desk = start_servers(&platform, "desk", true, SERVERS, 101, record)?;
-    let _office = start_servers(&platform, "office", false, 4, 131, record)?;
-    if platform.order(CONFIG, START) != Some(200) {
-        return Err("the first configuration was not acknowledged".into());
+const SERVERS: usize = 13;
+const REMAIN: usize = 4;
+
+/// A deployment whose first service is divided by key, with a plain one beside it.
+struct Shrinking {
+    platform: Platform,
+    desk: Servers,
+    _office: Servers,
+    record: Arc<Record>,
+}
+
+impl Shrinking {
+    fn start(program: &str, record: &Arc<Record>) -> Result<Self, String> {
+        let platform = start_platform(program, record)?;
+        let desk = start_servers(&platform, "desk", true, SERVERS, 101, record)?;
+        let office = start_servers(&platform, "office", false, 4, 131, record)?;
+        if platform.order(CONFIG, START) != Some(200) {
+            return Err("the first configuration was not acknowledged".into());
+        }
+        platform.wait_ready(START)?;
+        let all_held = || desk.iter().map(|server| server.keys()).sum::<usize>() == 1 << 16;
+        wait_for("the first grants", START, all_held)?;
+        record.tell("all keys are held; traffic begins");
+        Ok(Self {
+            platform,
+            desk,
+            _office: office,
+            record: record.clone(),
+        })
+    }
+
+    /// Empties all but [`REMAIN`] servers, which then leave.
+    fn shrink(&self) {
+        for server in &self.desk[REMAIN..] {
+            server.drain();
+            thread::sleep(Duration::from_millis(100));
+        }
     }
-    platform.wait_ready(START)?;
-    let held = |servers: &Servers| servers.iter().map(|server| server.keys()).sum::<usize>();
-    wait_for("the first grants", START, || held(&desk) == 1 << 16)?;
-    record.tell("all keys are held; traffic begins");
-    let clients = Clients::start(&[lookups(40.0)], &platform.fronts(), record);
-    let report = || {
+
+    fn report(&self) {
         let sizes = |server: &Arc<server::Server>| server.largest.load(Ordering::Relaxed);
-        let sizes: Vec<usize> = desk[..REMAIN].iter().map(sizes).collect();
-        let oversize: usize = desk
-            .iter()
-            .map(|s| s.oversize.load(Ordering::Relaxed))
-            .sum();
-        let up = desk
-            .iter()
-            .filter(|server| !server.gone.load(Ordering::Relaxed));
-        record.tell(&format!(
+        let sizes: Vec<usize> = self.desk[..REMAIN].iter().map(sizes).collect();
+        let oversize = |server: &Arc<server::Server>| server.oversize.load(Ordering::Relaxed);
+        let oversize: usize = self.desk.iter().map(oversize).sum();
+        let up = |server: &&Arc<server::Server>| !server.gone.load(Ordering::Relaxed);
+        self.record.tell(&format!(
             "{} servers are up; keys held: {} of 65536; largest answers to heartbeats of the \
              first {REMAIN}: {sizes:?} bytes; answers over {} bytes: {oversize}",
-            up.count(),
-            held(&desk),
+            self.desk.iter().filter(up).count(),
+            self.desk.iter().map(|server| server.keys()).sum::<usize>(),
             server::MAX_ANSWER_BYTES,
         ));
-    };
+    }
+
+    /// Reports every five seconds until a time.
+    fn watch(&self, until: Instant) {
+        while Instant::now() < until {
+            let left = until.saturating_duration_since(Instant::now());
+            thread::sleep(left.min(Duration::from_secs(5)));
+            self.report();
+        }
+    }
+}
+
+/// Returns the share of requests of these kinds, sent in a time, that were served, and their number.
+fn served(samples: &[Sample], kinds: &[&str], from: Instant, to: Instant) -> (f64, usize) {
+    let sent = samples.iter().filter(|sample| kinds.contains(&sample.kind));
+    let sent = sent.filter(|sample| from <= sample.sent && sample.sent < to);
+    let served = sent.clone().filter(|sample| sample.status == 200).count();
+    (
+        served as f64 / sent.clone().count().max(1) as f64,
+        sent.count(),
+    )
+}
+
+/// Servers of a service that is divided by key are emptied and taken away. Rule CONFIG: in steady
+/// state, machines in touch get 20 or more requests on routes that were added later, and serve them
+/// less than a quarter as often as those on the first routes.
+fn many_rows(program: &str, trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
+    let deployment = Shrinking::start(program, record)?;
+    let fronts = deployment.platform.fronts();
+    let first = Clients::start(&[LOOKUP, RENEWAL], &fronts, record);
+    thread::sleep(Duration::from_secs(5));
+    if trouble {
+        deployment.shrink();
+    }
+    thread::sleep(Duration::from_secs(10));
+    deployment.report();
+    if deployment.platform.order(ADDED, START) != Some(200) {
+        return Err("the added route was not acknowledged".into());
+    }
+    record.tell("a route was added and acknowledged");
+    // Longer than config-propagation-s and contact-s.
+    thread::sleep(Duration::from_secs(5));
+    let added = Clients::start(&[ADDED_LOOKUP], &fronts, record);
+    let from = Instant::now();
+    deployment.watch(from + Duration::from_secs(40));
+    // The last requests may still wait for their answers.
+    let to = Instant::now() - Duration::from_secs(2);
+    let (old, olds) = served(&first.samples(), &[LOOKUP.name, RENEWAL.name], from, to);
+    let (new, news) = served(&added.samples(), &[ADDED_LOOKUP.name], from, to);
+    record.tell(&format!(
+        "served: {new:.3} of {news} requests on the route that was added, {old:.3} of {olds} on \
+         the first routes"
+    ));
+    if news < 20 || old == 0.0 {
+        return Err("too few requests".into());
+    }
+    Ok(new >= old / 4.0)
+}
+
+/// The same, then all processes are killed once. Rule RECOVER: of the requests sent later than
+/// `recovery-s` after the machines are back, less than a quarter is served, though a quarter or more
+/// was before the final fault. With TROUBLE=final, only the final fault comes.
+fn many_rows_final(program: &str, trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
+    const BEFORE: Duration = Duration::from_secs(28);
+    const DOWN: Duration = Duration::from_secs(1);
+    const RECOVERY: Duration = Duration::from_secs(15);
+    let shrinks = trouble && std::env::var("TROUBLE").as_deref() != Ok("final");
+    let mut deployment = Shrinking::start(program, record)?;
+    let clients = Clients::start(&[LOOKUP], &deployment.platform.fronts(), record);
     let start = Instant::now();
     thread::sleep(BEFORE - Duration::from_secs(6));
-    report();
     if shrinks {
-        for server in &desk[REMAIN..] {
-            server.drain();
-            thread::sleep(Duration::from_millis(100));
-        }
+        deployment.shrink();
     }
     thread::sleep(BEFORE.saturating_sub(start.elapsed()));
-    report();
+    deployment.report();
     let fault = Instant::now();
     if trouble {
         record.tell("final fault: all processes are killed");
+        let platform = &mut deployment.platform;
         let all = 0..platform.machines.len();
         all.clone().for_each(|index| platform.kill(index));
         thread::sleep(DOWN);
@@ -145,23 +241,11 @@
         }
     }
     let back = Instant::now();
-    while back.elapsed() < RECOVERY + AFTER {
-        thread::sleep(Duration::from_secs(5));
-        report();
-    }
+    deployment.watch(back + RECOVERY + Duration::from_secs(25));
     let samples = clients.samples();
-    drop(clients);
-    let share = |from: Instant, to: Instant| {
-        let sent = samples.iter().filter(|s| from <= s.sent && s.sent < to);
-        let served = sent.clone().filter(|sample| sample.status == 200).count();
-        (
-            served as f64 / sent.clone().count().max(1) as f64,
-            sent.count(),
-        )
-    };
-    let (before, first) = share(start, fault);
-    // The last requests may still wait for their answers.
-    let (after, last) = share(back + RECOVERY, Instant::now() - Duration::from_secs(2));
+    let (before, first) = served(&samples, &[LOOKUP.name], start, fault);
+    let to = Instant::now() - Duration::from_secs(2);
+    let (after, last) = served(&samples, &[LOOKUP.name], back + RECOVERY, to);
     record.tell(&format!(
         "served before the final fault: {before:.3} of {first} requests; of {last} requests sent \
          later than {RECOVERY:?} after the machines were back: {after:.3}"
