--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -140,3 +140,107 @@
     connection.write(&first, &headers, b"").ok()?;
     connection.read(Some(until)).ok()?
 }
+
+/// How a request on a kept connection ended.
+#[derive(Debug, Clone)]
+pub struct End {
+    pub id: String,
+    /// Status of the answer; 0 if the connection ended without one.
+    pub status: u16,
+}
+
+/// Clients that send one request after the other, each on its own connection, which it keeps.
+pub struct Kept {
+    stop: Arc<AtomicBool>,
+    threads: Vec<thread::JoinHandle<Vec<End>>>,
+}
+
+impl Kept {
+    /// Starts `count` clients of each front.
+    pub fn start(kind: &Kind, fronts: &[SocketAddr], count: usize, record: &Arc<Record>) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let start = |front: &SocketAddr| {
+            let (kind, front, record, stop) = (kind.clone(), *front, record.clone(), stop.clone());
+            thread::spawn(move || {
+                let mut ends = Vec::new();
+                let mut connection = None;
+                while !stop.load(Ordering::Relaxed) {
+                    let id = format!("{:016x}", mixed(NEXT.fetch_add(1, Ordering::Relaxed)));
+                    match keep(&kind, front, &id, &mut connection) {
+                        Some(status) => {
+                            record
+                                .line(&format!("client {}: {id} to {front}: {status}", kind.name));
+                            ends.push(End { id, status });
+                        }
+                        None => thread::sleep(Duration::from_millis(100)),
+                    }
+                }
+                ends
+            })
+        };
+        let each = fronts
+            .iter()
+            .flat_map(|front| std::iter::repeat_n(front, count));
+        let threads = each.map(start).collect();
+        Self { stop, threads }
+    }
+
+    /// Stops the clients and returns how their requests ended.
+    pub fn stop(self) -> Vec<End> {
+        self.stop.store(true, Ordering::Relaxed);
+        let ends = self
+            .threads
+            .into_iter()
+            .map(|thread| thread.join().unwrap_or_default());
+        ends.flatten().collect()
+    }
+}
+
+/// Sends a request on the kept connection, or a new one. Returns `None` if it was not sent.
+fn keep(
+    kind: &Kind,
+    front: SocketAddr,
+    id: &str,
+    kept: &mut Option<http::Connection>,
+) -> Option<u16> {
+    if kept.is_none() {
+        *kept = http::Connection::open(front, Duration::from_secs(1)).ok();
+    }
+    let until = Instant::now() + kind.deadline;
+    let headers = head(kind, id);
+    let first = format!("{} {}kept HTTP/1.1", kind.method, kind.path);
+    let connection = kept.as_mut()?;
+    if connection.write(&first, &headers, b"body").is_err() {
+        *kept = None;
+        return None;
+    }
+    let answer = connection.read(Some(until)).ok().flatten();
+    let status = answer.as_ref().map_or(0, http::Message::status);
+    let closes = answer.is_none_or(|answer| answer.header("connection") == Some("close"));
+    if closes {
+        *kept = None;
+    }
+    Some(status)
+}
+
+fn head(kind: &Kind, id: &str) -> Vec<(&'static str, String)> {
+    vec![
+        ("Host", kind.host.to_owned()),
+        ("X-Request-Id", id.to_owned()),
+        ("X-Deadline-Ms", kind.deadline.as_millis().to_string()),
+    ]
+}
+
+/// Sends a request with a body of this size. Returns the status, or 0 without an answer.
+pub fn upload(kind: &Kind, front: SocketAddr, size: usize) -> u16 {
+    let id = format!("{:016x}", mixed(NEXT.fetch_add(1, Ordering::Relaxed)));
+    let until = Instant::now() + kind.deadline * 2;
+    let exchange = || -> std::io::Result<u16> {
+        let mut connection = http::Connection::open(front, Duration::from_secs(1))?;
+        let first = format!("{} {}large HTTP/1.1", kind.method, kind.path);
+        connection.write(&first, &head(kind, &id), &vec![7; size])?;
+        let answer = connection.read(Some(until))?;
+        Ok(answer.map_or(0, |answer| answer.status()))
+    };
+    exchange().unwrap_or(0)
+}
--- a/review/standin/platform.rs
+++ b/review/standin/platform.rs
@@ -15,6 +15,9 @@
 /// Interval between heartbeats of a server, in seconds.
 pub const HEARTBEAT_S: f64 = 0.87;
 
+/// Memory that a process of an entry machine may use (`memory-mb`).
+pub const MEMORY_MB: u64 = 260;
+
 /// Ports, the same on all machines.
 #[derive(Debug, Clone, Copy)]
 pub struct Ports {
@@ -138,7 +141,7 @@
             r#"{{"node-name":"{}","role":"r-{class}","machine-class":"{class}","serves":["{serves}"],
 "ip":"{ip}","zone":"{}","region":"western","zones":{{{}}},"listen":{listen},
 "internal-port-range":[{},{}],"seeds":[{}],"bootstrap":{bootstrap},"loss-counts":{},
-"limits":{{"cpu-share":0.2,"cores":1,"memory-mb":260,"max-file-descriptors":4100,"link-mbps":1000.0,"disk-mb":256}},
+"limits":{{"cpu-share":0.2,"cores":1,"memory-mb":{MEMORY_MB},"max-file-descriptors":4100,"link-mbps":1000.0,"disk-mb":256}},
 "data-dir":{data},"discovery":"registration","entry":"virtual_ip","heartbeat-interval-s":{HEARTBEAT_S},
 "contracts":["base","drain","config","cost","retry","recover","own"],
 "fault-tolerance":{{"machines":1,"zones":1,"regions":0}},
@@ -199,6 +202,43 @@
         }
     }
 
+    /// Ends and restarts processes that use more memory than they may, as the platform does. Returns
+    /// their number.
+    pub fn enforce_memory(&mut self) -> usize {
+        let mut ended = 0;
+        for index in 0..self.machines.len() {
+            let used = self.memory_mb(index, "VmRSS:").unwrap_or(0);
+            if used > MEMORY_MB {
+                let name = self.machines[index].name.clone();
+                self.record
+                    .tell(&format!("platform: {name} uses {used} MB of {MEMORY_MB}"));
+                self.kill(index);
+                std::thread::sleep(Duration::from_millis(500));
+                if let Err(error) = self.start(index, false) {
+                    self.record
+                        .tell(&format!("platform: {name} does not start: {error}"));
+                }
+                ended += 1;
+            }
+        }
+        ended
+    }
+
+    /// Returns the greatest memory that each process has used, in megabytes.
+    pub fn peaks(&self) -> Vec<u64> {
+        let all = 0..self.machines.len();
+        all.map(|index| self.memory_mb(index, "VmHWM:").unwrap_or(0))
+            .collect()
+    }
+
+    fn memory_mb(&self, index: usize, field: &str) -> Option<u64> {
+        let child = self.machines[index].child.as_ref()?;
+        let status = fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
+        let line = status.lines().find(|line| line.starts_with(field))?;
+        let kilobytes: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+        Some(kilobytes >> 10)
+    }
+
     /// Sends an order of the operator until it has a clear answer. Returns its status.
     pub fn order(&self, body: &str, timeout: Duration) -> Option<u16> {
         let until = Instant::now() + timeout;
--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use crate::client::{Clients, Kind, Sample};
+use crate::client::{self, Clients, Kind, Sample};
 use crate::platform::{Platform, ZONES};
 use crate::{Record, server};
 
@@ -17,6 +17,7 @@
     match name {
         "many-rows" => many_rows(program, trouble, record),
         "many-rows-final" => many_rows_final(program, trouble, record),
+        "large-bodies" => large_bodies(program, trouble, record),
         _ => Err(format!("there is no scenario {name}")),
     }
 }
@@ -255,3 +256,58 @@
     }
     Ok(after >= 0.25)
 }
+
+/// Clients send a few bodies within `max-body-bytes` at once. Rule LOST: a machine in touch passes a
+/// request from a kept connection on to a sound server and closes that connection without an answer,
+/// more than three times.
+fn large_bodies(program: &str, trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
+    const BODY_BYTES: usize = 60 << 20;
+    const UPLOADS: usize = 3;
+    const ROUNDS: usize = 3;
+    const KEPT: usize = 8;
+    let mut platform = start_platform(program, record)?;
+    let office = start_servers(&platform, "office", false, 12, 131, record)?;
+    if platform.order(CONFIG, START) != Some(200) {
+        return Err("the first configuration was not acknowledged".into());
+    }
+    platform.wait_ready(START)?;
+    let fronts = platform.fronts();
+    let kept = client::Kept::start(&RENEWAL, &fronts[..1], KEPT, record);
+    thread::sleep(Duration::from_secs(3));
+    let start = Instant::now();
+    let mut killed = 0;
+    for round in 0..ROUNDS {
+        let mut uploads = Vec::new();
+        for index in 0..UPLOADS {
+            let (front, record) = (fronts[0], record.clone());
+            let size = if trouble { BODY_BYTES } else { 1 << 10 };
+            uploads.push(thread::spawn(move || {
+                let status = client::upload(&RENEWAL, front, size);
+                record.tell(&format!("upload {round}.{index} of {size} bytes: {status}"));
+            }));
+        }
+        let end = start + Duration::from_secs(8 * (round as u64 + 1));
+        while Instant::now() < end {
+            killed += platform.enforce_memory();
+            thread::sleep(Duration::from_millis(2));
+        }
+        for upload in uploads {
+            upload.join().map_err(|_| "an upload failed".to_owned())?;
+        }
+        record.tell(&format!("peak memory: {:?} MB", platform.peaks()));
+    }
+    let ends = kept.stop();
+    let ran: std::collections::HashSet<String> =
+        office.iter().flat_map(|server| server.ran_ids()).collect();
+    let cut = ends
+        .iter()
+        .filter(|end| end.status == 0 && ran.contains(&end.id));
+    let cut = cut.count();
+    record.tell(&format!(
+        "{killed} processes used more than {} MB and were ended; of {} requests on kept connections \
+         {cut} were passed on to a server and ended without an answer",
+        crate::platform::MEMORY_MB,
+        ends.len()
+    ));
+    Ok(cut <= 3)
+}
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -54,7 +54,7 @@
     slots: Mutex<usize>,
     freed: std::sync::Condvar,
     pub gone: AtomicBool,
-    pub ran: AtomicUsize,
+    ran: Mutex<Vec<String>>,
     pub oversize: AtomicUsize,
     pub largest: AtomicUsize,
     record: Arc<Record>,
@@ -82,7 +82,7 @@
             slots: Mutex::new(SLOTS),
             freed: std::sync::Condvar::new(),
             gone: AtomicBool::new(false),
-            ran: AtomicUsize::new(0),
+            ran: Mutex::default(),
             oversize: AtomicUsize::new(0),
             largest: AtomicUsize::new(0),
             record: record.clone(),
@@ -110,6 +110,11 @@
         state.holds.iter().filter(|token| **token > 0).count()
     }
 
+    /// Returns the ids of the requests that it ran.
+    pub fn ran_ids(&self) -> Vec<String> {
+        self.ran.lock().unwrap().clone()
+    }
+
     fn say(&self, text: &str) {
         self.record
             .line(&format!("server {}: {text}", self.settings.id));
@@ -191,7 +196,7 @@
         }
         *free -= 1;
         drop(free);
-        self.ran.fetch_add(1, Ordering::Relaxed);
+        self.ran.lock().unwrap().push(id.to_owned());
         self.say(&format!("runs {id} key={key:?}"));
         thread::sleep(self.settings.work);
         *self.slots.lock().unwrap() += 1;
