--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -10,6 +10,9 @@
 use crate::platform::{Platform, ZONES};
 use crate::{Record, server};
 
+/// Idle time of connections that servers state, in seconds.
+const IDLE_S: u64 = 10;
+
 const START: Duration = Duration::from_secs(20);
 
 /// Runs a scenario. Returns whether the rule held.
@@ -18,6 +21,7 @@
         "many-rows" => many_rows(program, trouble, record),
         "many-rows-final" => many_rows_final(program, trouble, record),
         "large-bodies" => large_bodies(program, trouble, record),
+        "keep-alive" => keep_alive(program, trouble, record),
         _ => Err(format!("there is no scenario {name}")),
     }
 }
@@ -65,6 +69,19 @@
     count: usize,
     first: u8,
     record: &Arc<Record>,
+) -> Result<Servers, String> {
+    start_servers_with(platform, service, keyed, count, first, IDLE_S, record)
+}
+
+/// Starts servers, the first of which states another idle time.
+fn start_servers_with(
+    platform: &Platform,
+    service: &str,
+    keyed: bool,
+    count: usize,
+    first: u8,
+    first_idle_s: u64,
+    record: &Arc<Record>,
 ) -> Result<Servers, String> {
     let [a, b, c] = platform.net;
     let started = (0..count).map(|index| {
@@ -75,6 +92,7 @@
             zone: ZONES[index % ZONES.len()],
             ip: Ipv4Addr::new(a, b, c, first + index as u8),
             work: Duration::from_millis(40),
+            idle_s: if index == 0 { first_idle_s } else { IDLE_S },
         };
         server::Server::start(settings, platform.controls(), record)
     });
@@ -311,3 +329,34 @@
     ));
     Ok(cut <= 3)
 }
+
+/// One of four servers states that it closes idle connections after the longest time that a signed
+/// number of seconds can tell. Rule LOST, as in [`large_bodies`].
+fn keep_alive(program: &str, trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
+    let platform = start_platform(program, record)?;
+    let idle_s = if trouble { i64::MAX as u64 } else { IDLE_S };
+    let office = start_servers_with(&platform, "office", false, 4, 131, idle_s, record)?;
+    if platform.order(CONFIG, START) != Some(200) {
+        return Err("the first configuration was not acknowledged".into());
+    }
+    platform.wait_ready(START)?;
+    record.tell(&format!(
+        "{} answers with Keep-Alive: timeout={idle_s}",
+        office[0].settings.id
+    ));
+    let kept = client::Kept::start(&RENEWAL, &platform.fronts(), 2, record);
+    thread::sleep(Duration::from_secs(20));
+    let ends = kept.stop();
+    let cut_at = |server: &Arc<server::Server>| {
+        let ran: std::collections::HashSet<String> = server.ran_ids().into_iter().collect();
+        let cut = ends
+            .iter()
+            .filter(|end| end.status == 0 && ran.contains(&end.id));
+        (cut.count(), ran.len())
+    };
+    let cut: Vec<(usize, usize)> = office.iter().map(cut_at).collect();
+    record.tell(&format!(
+        "requests that ended without an answer, and all that ran, at each server: {cut:?}"
+    ));
+    Ok(cut.iter().map(|(cut, _)| cut).sum::<usize>() <= 3)
+}
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -25,6 +25,8 @@
     pub zone: &'static str,
     pub ip: Ipv4Addr,
     pub work: Duration,
+    /// Idle time of a connection, as stated in answers, in seconds.
+    pub idle_s: u64,
 }
 
 #[derive(Default)]
@@ -148,7 +150,7 @@
             let mut headers = vec![
                 ("X-Request-Id", id.clone()),
                 ("X-Instance-Id", self.settings.id.clone()),
-                ("Keep-Alive", "timeout=10".to_owned()),
+                ("Keep-Alive", format!("timeout={}", self.settings.idle_s)),
             ];
             let mut body = String::new();
             if run {
