--- a/review/standin/client.rs
+++ b/review/standin/client.rs
@@ -16,6 +16,8 @@
     pub host: &'static str,
     pub path: &'static str,
     pub keyed: bool,
+    /// Whether all requests have the same path.
+    pub same: bool,
     pub deadline: Duration,
     pub per_second: f64,
 }
@@ -136,7 +138,12 @@
     if kind.keyed {
         headers.push(("X-Shard-Key", key.to_string()));
     }
-    let first = format!("{} {}{key} HTTP/1.1", kind.method, kind.path);
+    let name = if kind.same {
+        String::new()
+    } else {
+        key.to_string()
+    };
+    let first = format!("{} {}{name} HTTP/1.1", kind.method, kind.path);
     connection.write(&first, &headers, b"").ok()?;
     connection.read(Some(until)).ok()?
 }
--- a/review/standin/scenario.rs
+++ b/review/standin/scenario.rs
@@ -22,6 +22,7 @@
         "many-rows-final" => many_rows_final(program, trouble, record),
         "large-bodies" => large_bodies(program, trouble, record),
         "keep-alive" => keep_alive(program, trouble, record),
+        "same-request" => same_request(program, trouble, record),
         _ => Err(format!("there is no scenario {name}")),
     }
 }
@@ -38,6 +39,7 @@
     host: "look.example",
     path: "/look/",
     keyed: true,
+    same: false,
     deadline: Duration::from_millis(1_500),
     per_second: 40.0,
 };
@@ -48,6 +50,7 @@
     host: "renew.example",
     path: "/renew/",
     keyed: false,
+    same: false,
     deadline: Duration::from_millis(2_000),
     per_second: 20.0,
 };
@@ -60,44 +63,75 @@
     ..LOOKUP
 };
 
+/// A route that the operator adds later, whose requests must not be repeated.
+const ADDED_UNSAFE: &str = r#"{"upsert":{"resources":[{"resource-kind":"routes","metadata":{"name":"r-next","version":"r9"},"spec":{"host":"next.example","path-prefix":"/next/","route-type":"unsafe","timeout-s":2.5,"target-latency-s":1.5,"priority":1,"service":"office","max-attempts":2}}]},"remove":{"routes":[]}}"#;
+
+/// Draws the next number of a queue, which takes a second: each request is the same, and each has
+/// its own answer.
+const NEXT_NUMBER: Kind = Kind {
+    name: "next",
+    host: "next.example",
+    path: "/next/",
+    same: true,
+    deadline: Duration::from_secs(3),
+    per_second: 7.0,
+    ..RENEWAL
+};
+
 type Servers = Vec<Arc<server::Server>>;
 
-fn start_servers(
-    platform: &Platform,
-    service: &str,
+/// Servers of one service.
+#[derive(Clone, Copy)]
+struct Group {
+    service: &'static str,
     keyed: bool,
     count: usize,
+    /// Last octet of the first address.
     first: u8,
-    record: &Arc<Record>,
-) -> Result<Servers, String> {
-    start_servers_with(platform, service, keyed, count, first, IDLE_S, record)
+    work: Duration,
+    /// Idle time of connections that the first server states, in seconds.
+    first_idle_s: u64,
 }
 
-/// Starts servers, the first of which states another idle time.
-fn start_servers_with(
-    platform: &Platform,
-    service: &str,
-    keyed: bool,
-    count: usize,
-    first: u8,
-    first_idle_s: u64,
-    record: &Arc<Record>,
-) -> Result<Servers, String> {
-    let [a, b, c] = platform.net;
-    let started = (0..count).map(|index| {
-        let settings = server::Settings {
-            id: format!("i-{service}-{index:02}"),
-            service: service.to_owned(),
-            keyed,
-            zone: ZONES[index % ZONES.len()],
-            ip: Ipv4Addr::new(a, b, c, first + index as u8),
-            work: Duration::from_millis(40),
-            idle_s: if index == 0 { first_idle_s } else { IDLE_S },
-        };
-        server::Server::start(settings, platform.controls(), record)
-    });
-    let started: std::io::Result<Servers> = started.collect();
-    started.map_err(|error| format!("servers: {error}"))
+const DESK: Group = Group {
+    service: "desk",
+    keyed: true,
+    count: SERVERS,
+    first: 101,
+    work: Duration::from_millis(40),
+    first_idle_s: IDLE_S,
+};
+
+const OFFICE: Group = Group {
+    service: "office",
+    keyed: false,
+    count: 4,
+    first: 131,
+    ..DESK
+};
+
+impl Group {
+    fn start(&self, platform: &Platform, record: &Arc<Record>) -> Result<Servers, String> {
+        let [a, b, c] = platform.net;
+        let started = (0..self.count).map(|index| {
+            let settings = server::Settings {
+                id: format!("i-{}-{index:02}", self.service),
+                service: self.service.to_owned(),
+                keyed: self.keyed,
+                zone: ZONES[index % ZONES.len()],
+                ip: Ipv4Addr::new(a, b, c, self.first + index as u8),
+                work: self.work,
+                idle_s: if index == 0 {
+                    self.first_idle_s
+                } else {
+                    IDLE_S
+                },
+            };
+            server::Server::start(settings, platform.controls(), record)
+        });
+        let started: std::io::Result<Servers> = started.collect();
+        started.map_err(|error| format!("servers: {error}"))
+    }
 }
 
 fn start_platform(program: &str, record: &Arc<Record>) -> Result<Platform, String> {
@@ -133,8 +167,8 @@
 impl Shrinking {
     fn start(program: &str, record: &Arc<Record>) -> Result<Self, String> {
         let platform = start_platform(program, record)?;
-        let desk = start_servers(&platform, "desk", true, SERVERS, 101, record)?;
-        let office = start_servers(&platform, "office", false, 4, 131, record)?;
+        let desk = DESK.start(&platform, record)?;
+        let office = OFFICE.start(&platform, record)?;
         if platform.order(CONFIG, START) != Some(200) {
             return Err("the first configuration was not acknowledged".into());
         }
@@ -284,7 +318,11 @@
     const ROUNDS: usize = 3;
     const KEPT: usize = 8;
     let mut platform = start_platform(program, record)?;
-    let office = start_servers(&platform, "office", false, 12, 131, record)?;
+    let office = Group {
+        count: 12,
+        ..OFFICE
+    }
+    .start(&platform, record)?;
     if platform.order(CONFIG, START) != Some(200) {
         return Err("the first configuration was not acknowledged".into());
     }
@@ -335,7 +373,11 @@
 fn keep_alive(program: &str, trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
     let platform = start_platform(program, record)?;
     let idle_s = if trouble { i64::MAX as u64 } else { IDLE_S };
-    let office = start_servers_with(&platform, "office", false, 4, 131, idle_s, record)?;
+    let group = Group {
+        first_idle_s: idle_s,
+        ..OFFICE
+    };
+    let office = group.start(&platform, record)?;
     if platform.order(CONFIG, START) != Some(200) {
         return Err("the first configuration was not acknowledged".into());
     }
@@ -360,3 +402,80 @@
     ));
     Ok(cut.iter().map(|(cut, _)| cut).sum::<usize>() <= 3)
 }
+
+/// All servers of one zone crash at once, and others take their place. Rule CONFIG, as in
+/// [`many_rows`]: the requests on the route that was added are all alike.
+fn same_request(program: &str, trouble: bool, record: &Arc<Record>) -> Result<bool, String> {
+    const SERVERS: usize = 15;
+    const WORK: Duration = Duration::from_secs(1);
+    const DOWN: Duration = Duration::from_millis(4_500);
+    let platform = start_platform(program, record)?;
+    let desk = DESK.start(&platform, record)?;
+    let group = Group {
+        count: SERVERS,
+        work: WORK,
+        ..OFFICE
+    };
+    let office = group.start(&platform, record)?;
+    if platform.order(CONFIG, START) != Some(200) {
+        return Err("the first configuration was not acknowledged".into());
+    }
+    platform.wait_ready(START)?;
+    let held = || desk.iter().map(|server| server.keys()).sum::<usize>();
+    wait_for("the first grants", START, || held() == 1 << 16)?;
+    let fronts = platform.fronts();
+    let first = Clients::start(&[LOOKUP], &fronts, record);
+    thread::sleep(Duration::from_secs(2));
+    if platform.order(ADDED_UNSAFE, START) != Some(200) {
+        return Err("the added route was not acknowledged".into());
+    }
+    record.tell("a route was added and acknowledged; its clients are in the first zone");
+    thread::sleep(Duration::from_secs(3));
+    let added = Clients::start(&[NEXT_NUMBER], &fronts[..1], record);
+    // Not in the moment at which a request is sent.
+    thread::sleep(Duration::from_millis(6_070));
+    let mut later = Vec::new();
+    if trouble {
+        record.tell("all servers of the first zone crash");
+        thread::scope(|scope| {
+            for server in office.iter().step_by(ZONES.len()) {
+                scope.spawn(|| server.crash());
+            }
+        });
+        thread::sleep(DOWN);
+        for index in 0..SERVERS / ZONES.len() {
+            let settings = server::Settings {
+                id: format!("i-office-later-{index}"),
+                ..office[0].settings.clone()
+            };
+            let started = server::Server::start(settings, platform.controls(), record);
+            later.push(started.map_err(|error| format!("servers: {error}"))?);
+        }
+        record.tell("other servers take their place");
+    }
+    thread::sleep(Duration::from_secs(6));
+    let from = Instant::now();
+    thread::sleep(Duration::from_secs(30));
+    let elsewhere = Clients::start(&[NEXT_NUMBER], &fronts[1..], record);
+    thread::sleep(Duration::from_secs(10));
+    let to = Instant::now() - Duration::from_secs(2);
+    let (old, olds) = served(&first.samples(), &[LOOKUP.name], from, to);
+    let samples = added.samples();
+    let (new, news) = served(&samples, &[NEXT_NUMBER.name], from, to);
+    let (other, others) = served(&elsewhere.samples(), &[NEXT_NUMBER.name], from, to);
+    record.tell(&format!(
+        "served: {other:.3} of {others} requests on that route that clients in the other zones sent"
+    ));
+    let mut statuses: std::collections::BTreeMap<u16, usize> = std::collections::BTreeMap::new();
+    for sample in samples.iter().filter(|sample| from <= sample.sent) {
+        *statuses.entry(sample.status).or_default() += 1;
+    }
+    record.tell(&format!(
+        "served: {new:.3} of {news} requests on the route that was added, {old:.3} of {olds} on \
+         the first routes; answers on the added route: {statuses:?}"
+    ));
+    if news < 20 || old == 0.0 {
+        return Err("too few requests".into());
+    }
+    Ok(new >= old / 4.0)
+}
--- a/review/standin/server.rs
+++ b/review/standin/server.rs
@@ -18,6 +18,7 @@
 const QUEUE: usize = 12;
 const DRAIN: Duration = Duration::from_millis(2_500);
 
+#[derive(Clone)]
 pub struct Settings {
     pub id: String,
     pub service: String,
@@ -57,6 +58,9 @@
     freed: std::sync::Condvar,
     pub gone: AtomicBool,
     ran: Mutex<Vec<String>>,
+    /// Open connections by number, which end with a crash.
+    open: Mutex<HashMap<usize, TcpStream>>,
+    accepted: AtomicUsize,
     pub oversize: AtomicUsize,
     pub largest: AtomicUsize,
     record: Arc<Record>,
@@ -85,6 +89,8 @@
             freed: std::sync::Condvar::new(),
             gone: AtomicBool::new(false),
             ran: Mutex::default(),
+            open: Mutex::default(),
+            accepted: AtomicUsize::new(0),
             oversize: AtomicUsize::new(0),
             largest: AtomicUsize::new(0),
             record: record.clone(),
@@ -102,6 +108,17 @@
         self.say("drains");
     }
 
+    /// Ends at once: it accepts no connection any more, and all that it has end.
+    pub fn crash(&self) {
+        self.say("crashes");
+        self.gone.store(true, Ordering::Relaxed);
+        // Wakes the accepting thread, which then closes the listener.
+        TcpStream::connect(self.address).ok();
+        for stream in self.open.lock().unwrap().values() {
+            stream.shutdown(std::net::Shutdown::Both).ok();
+        }
+    }
+
     /// Returns the number of keys that it holds.
     pub fn keys(&self) -> usize {
         let state = self.state.lock().unwrap();
@@ -139,6 +156,15 @@
     }
 
     fn serve(&self, stream: TcpStream) {
+        let number = self.accepted.fetch_add(1, Ordering::Relaxed);
+        if let Ok(copy) = stream.try_clone() {
+            self.open.lock().unwrap().insert(number, copy);
+        }
+        self.answer_all(stream);
+        self.open.lock().unwrap().remove(&number);
+    }
+
+    fn answer_all(&self, stream: TcpStream) {
         let mut connection = http::Connection::new(stream);
         let idle = Duration::from_secs(10);
         while let Ok(Some(request)) = connection.read(Some(Instant::now() + idle)) {
