--- a/review/standin-2/owners.rs
+++ b/review/standin-2/owners.rs
@@ -69,6 +69,15 @@
         }
     }
 
+    /// Records the end of a server, which holds nothing from then on.
+    pub fn end(&self, server: usize) {
+        let mut state = lock(&self.state);
+        if let Some(leases) = state.leases.get_mut(server) {
+            leases.fill(None);
+        }
+        state.at_work.retain(|(other, _)| *other != server);
+    }
+
     /// Records that a server has ended a request on a key.
     pub fn finish(&self, server: usize, key: Option<usize>) {
         let mut state = lock(&self.state);
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -136,6 +136,7 @@
     /// Ends the server: it accepts nothing and sends nothing from now on.
     pub fn end(&self) {
         lock(&self.state).ended = true;
+        self.owners.end(self.settings.number);
         self.changed.notify_all();
         // Wakes the thread that accepts connections.
         net::TcpStream::connect(self.address).ok();
@@ -272,6 +273,9 @@
     /// Applies the leases in an answer to the heartbeat that was sent at `sent`.
     fn apply(&self, answer: &json::Value, sent: Instant) {
         let mut state = lock(&self.state);
+        if state.ended {
+            return;
+        }
         state.released.clear();
         let rows = answer.get("holds").and_then(json::Value::list);
         let hold = answer.get("hold-s").and_then(json::Value::number);
