--- a/review/standin-2/deployment.rs
+++ b/review/standin-2/deployment.rs
@@ -281,6 +281,14 @@
     Ok(listener.local_addr()?.port())
 }
 
+/// Returns the resident memory of a process.
+pub fn resident_bytes(pid: u32) -> Option<u64> {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
+    let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
+    Some(kib << 10)
+}
+
 /// Returns a number that differs from run to run.
 pub fn random() -> u64 {
     use std::hash::{BuildHasher, Hasher};
--- a/review/standin-2/foreign_heartbeat.rs
+++ b/review/standin-2/foreign_heartbeat.rs
@@ -17,18 +17,22 @@
 use crate::server::{self, KEYS, Server};
 
 /// Number of servers that hold keys.
-const SERVERS: usize = 9;
+const SERVERS: usize = 12;
 
 /// Number of servers at whose addresses the other writer has servers of its own.
-const FOREIGN: usize = 9;
+const FOREIGN: usize = 10;
 
 /// Number of clients, each of which sends a request each [`CLIENT_PAUSE`].
-const CLIENTS: usize = 18;
+const CLIENTS: usize = 24;
 const CLIENT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Of so many requests, one takes [`LONG_WORK_MS`], as on the users' sites.
+const LONG_EVERY: u64 = 33;
+const LONG_WORK_MS: u64 = 700;
+
 /// Time for which requests are sent before and after the first foreign heartbeat.
 const CALM: Duration = Duration::from_secs(8);
-const WATCHED: Duration = Duration::from_secs(12);
+const WATCHED: Duration = Duration::from_secs(14);
 
 pub fn play(record: &Arc<Record>, trouble: bool) -> Outcome {
     let deployment = match Deployment::start(3, 3) {
@@ -157,6 +161,7 @@
         if stop.load(Ordering::Relaxed) {
             return;
         }
+        let long = deployment::random().is_multiple_of(LONG_EVERY);
         let request = Request {
             id: format!("q{number}-{count}"),
             method: "GET",
@@ -164,7 +169,11 @@
             path: config::READS,
             key: Some(deployment::random() as u16),
             deadline: Duration::from_millis(1_500),
-            headers: String::new(),
+            headers: if long {
+                format!("work-ms: {LONG_WORK_MS}\r\n")
+            } else {
+                String::new()
+            },
             body: b"",
         };
         let Some(mut open) = connection.take().or_else(|| client::connect(front)) else {
--- a/review/standin-2/large_bodies.rs
+++ b/review/standin-2/large_bodies.rs
@@ -9,7 +9,7 @@
 use crate::Outcome;
 use crate::client::{self, Request};
 use crate::config;
-use crate::deployment::{Deployment, SIGKILL};
+use crate::deployment::{Deployment, resident_bytes};
 use crate::http::End;
 use crate::owners::Owners;
 use crate::record::{Record, lock};
@@ -102,7 +102,6 @@
                 "platform: the entry process uses {} MiB and is killed",
                 used >> 20
             ));
-            deployment.entries[0].signal(SIGKILL);
             deployment.entries[0].end();
             thread::sleep(Duration::from_secs(1));
             if let Err(error) = deployment.start_entry(0) {
@@ -136,14 +135,6 @@
     Outcome::Held
 }
 
-/// Returns the resident memory of a process.
-fn resident_bytes(pid: u32) -> Option<u64> {
-    let status = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
-    let line = status.lines().find(|line| line.starts_with("VmRSS:"))?;
-    let kib: u64 = line.split_whitespace().nth(1)?.parse().ok()?;
-    Some(kib << 10)
-}
-
 /// Sends one request with a body of this size.
 fn send_body(number: usize, front: net::SocketAddr, size: usize, record: &Record) {
     let body = vec![b'x'; size];
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -9,6 +9,7 @@
 mod deployment;
 mod few_servers;
 mod foreign_heartbeat;
+mod growing_log;
 mod http;
 mod json;
 mod large_bodies;
@@ -59,6 +60,7 @@
     let outcome = match case.as_str() {
         "few-servers" => few_servers::play(&record, trouble),
         "foreign-heartbeat" => foreign_heartbeat::play(&record, trouble),
+        "growing-log" => growing_log::play(&record, trouble),
         "large-bodies" => large_bodies::play(&record, trouble),
         "late-heartbeat" => late_heartbeat::play(&record, trouble),
         "raised-limits" => raised_limits::play(&record, trouble),
