--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Plays the case `few-servers`; see claim.txt. Needs the build of the deploy file and review/build-2.sh.
+# Plays the case `late-heartbeat`; see claim.txt. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 program=target/review-2/standin
 [ -x "$program" ] && [ -x target/release/yucca-platform ] || { echo "build first"; exit 2; }
-exec "$program" few-servers review/8/record.txt
+exec "$program" late-heartbeat review/8/record.txt
