Keep targets that are up when another deployment announces their address

Callers saw keyed requests answered 421 and run by two owners, and targets that got neither keys nor requests again: heartbeats of another deployment with the same private addresses named a service that is not configured.

Cause: registering an instance marked every earlier one with its name or address as gone, whoever announced it, and the keys of one that is gone were free at once, without its lease.

Targets of services that are not configured are no longer registered. An instance with the name or address of another is registered once that one has been silent for the time of a lease, except for a restart at its own address, and keys of a replaced target are free after its lease. Control hosts tell the leader which targets without keys they have heard from. How entries of the log are applied is unchanged, so replicas of both builds agree; the new message follows a ping, which is all that an older process reads of it.

--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -15,14 +15,14 @@
 use std::time;
 
 use arc_swap::ArcSwap;
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use rand::rngs;
 use rand::{Rng, SeedableRng};
 use tokio::sync::mpsc;
 use tokio::task;
 use yucca_control::{directory, message as log_name, replica, version::feed};
 use yucca_log::node;
-use yucca_own::site::lease;
+use yucca_own::site::{lease, target};
 
 use crate::clock;
 use crate::dialect::operator;
@@ -56,7 +56,8 @@
 
 /// State that the parts of the process share.
 ///
-/// Locks are taken in the order `machine`, `leases`, `peers`, `quarantine`, `dialers`; none is held
+/// Locks are taken in the order `machine`, `leases`, `peers`, `quarantine`, `heard`, `dialers`; none is
+/// held
 /// across an await.
 pub(crate) struct Core {
     settings: settings::Settings,
@@ -72,6 +73,8 @@
     peers: sync::Mutex<IndexMap<link::Id, peer::Peer>>,
     /// What entry hosts know of requests that crash targets.
     quarantine: sync::Mutex<yucca_lane::shared::quarantine::Table>,
+    /// Targets heard from since the leader was last told, without those it hears of anyway.
+    heard: sync::Mutex<IndexSet<target::Number>>,
     transport: sync::Arc<transport::Transport>,
     leader_requests: leader::PendingRequests,
     /// Next confirmation of leadership, which heartbeats can join until it begins.
@@ -143,6 +146,7 @@
             leases: sync::Mutex::default(),
             peers: sync::Mutex::default(),
             quarantine: sync::Mutex::default(),
+            heard: sync::Mutex::default(),
             transport,
             leader_requests: leader::PendingRequests::default(),
             confirmation: sync::Mutex::default(),
@@ -156,6 +160,7 @@
         tasks.spawn(link::accept(mesh, hello, events));
         tasks.spawn(core.clone().handle_events(received));
         tasks.spawn(core.clone().publish());
+        tasks.spawn(core.clone().tell_contacts());
         let handler = sync::Arc::new(call::Handler(core.clone()));
         Ok(Self {
             core,
--- a/crates/yucca-fleet/src/control/announce.rs
+++ b/crates/yucca-fleet/src/control/announce.rs
@@ -6,7 +6,7 @@
 
 use std::sync;
 
-use yucca_own::site::{self, lease, target};
+use yucca_own::site::{self, admission, lease, target};
 
 use crate::control::Core;
 use crate::dialect::operator;
@@ -27,6 +27,7 @@
         let next = Some(self.nearest(&target.domain, &target.instance.name));
         let request = self.leader_request(target, &heartbeat);
         if request.announced.is_none() && request.heartbeat.is_none() {
+            self.hear(&request.instance);
             return Ok(operator::Answer::Announced { grants: None, next });
         }
         let instance = request.instance.clone();
@@ -84,6 +85,10 @@
         let would_change =
             |target: &target::Target| lock(&self.machine).state.targets.would_change(target);
         if let Some(target) = request.announced.filter(would_change) {
+            let admission = self.admit(&target);
+            if admission != admission::Admission::Register {
+                return not_registered(&target, &admission);
+            }
             log::info!(
                 "target={} service={} address={} phase={} announced",
                 target.instance,
@@ -114,6 +119,37 @@
         Ok(self.renew(record.number))
     }
 
+    /// Decides whether an announced target is registered.
+    pub(super) fn admit(&self, target: &target::Target) -> admission::Admission {
+        let now = self.clock.now();
+        let machine = lock(&self.machine);
+        self.with_registry(|leases| admission::admit(&machine.state, leases, target, now))
+    }
+
+    /// Records that a target was heard from whose announcement does not need the leader.
+    fn hear(&self, instance: &target::Instance) {
+        let machine = lock(&self.machine);
+        if let Some(record) = machine.state.targets.instance(instance) {
+            lock(&self.heard).insert(record.number);
+        }
+    }
+
+    /// Records that targets were heard from, if this host is the leader.
+    pub(super) fn record_contacts(&self, numbers: &[target::Number]) {
+        if !self.replica.status().leads {
+            return;
+        }
+        let now = self.clock.now();
+        let machine = lock(&self.machine);
+        let targets = &machine.state.targets;
+        let records = numbers.iter().filter_map(|number| targets.get(*number));
+        self.with_registry(|registry| {
+            for record in records {
+                registry.record_contact(record.number, &record.target.service, now);
+            }
+        });
+    }
+
     async fn assign(
         self: sync::Arc<Self>,
         assignment: site::range::Assignment,
@@ -248,3 +284,24 @@
         then(registry)
     }
 }
+
+/// Answers an announcement that is not registered. That of a ready target renews nothing and may come
+/// again. One that drains must not count as acknowledged, as nothing stores that it drains.
+fn not_registered(
+    target: &target::Target,
+    admission: &admission::Admission,
+) -> Result<Option<lease::Renewal>, message::Refusal> {
+    let reason = admission.to_string();
+    log::debug!(
+        "target={} service={} address={} not registered: {reason}",
+        target.instance,
+        target.service,
+        target.address
+    );
+    metrics::counter!("yucca_fleet_targets_not_registered_total").increment(1);
+    if target.phase == target::Phase::Ready {
+        Ok(None)
+    } else {
+        Err(message::Refusal::Unavailable(reason))
+    }
+}
--- a/crates/yucca-fleet/src/control/leader.rs
+++ b/crates/yucca-fleet/src/control/leader.rs
@@ -7,7 +7,7 @@
 
 use indexmap::IndexMap;
 use tokio::sync::oneshot;
-use yucca_own::site::{item, lease};
+use yucca_own::site::{item, lease, target};
 use yucca_wire::id;
 
 use crate::contact;
@@ -83,6 +83,21 @@
         }
     }
 
+    /// Tells the leader at each announcement interval which targets were heard from.
+    pub(super) async fn tell_contacts(self: sync::Arc<Self>) {
+        loop {
+            tokio::time::sleep(self.settings.timing.announce.0).await;
+            let heard: Vec<target::Number> = lock(&self.heard).drain(..).collect();
+            let status = self.replica.status();
+            if status.leads {
+                self.record_contacts(&heard);
+            } else if let Some(leader) = status.leader.filter(|_| !heard.is_empty()) {
+                self.transport
+                    .send_message(&leader, message::Message::Contacts(heard));
+            }
+        }
+    }
+
     /// Returns the address at which a target of a domain should announce itself: this host if it is
     /// in the domain, or else a connected control host there, if any.
     pub(super) fn nearest(&self, domain: &item::Name, target: &item::Name) -> net::SocketAddr {
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -199,7 +199,8 @@
             | message::Message::LeaderRequest { .. }
             | message::Message::LeaderReply { .. }
             | message::Message::Report(_)
-            | message::Message::Pull { .. } => {}
+            | message::Message::Pull { .. }
+            | message::Message::Contacts(_) => {}
         }
     }
 
--- a/crates/yucca-fleet/src/mesh/message.rs
+++ b/crates/yucca-fleet/src/mesh/message.rs
@@ -123,13 +123,16 @@
     /// Requests that crash targets, from an entry host to all control hosts and from those to all
     /// entry hosts.
     Quarantine(Box<quarantine::News>),
+    /// Targets that the sender has heard from and told the leader nothing of, from a control host to
+    /// the leader.
+    Contacts(Vec<target::Number>),
 }
 
 impl Message {
     /// Returns whether the receiver may ignore the message. It is sent after a ping in the same
     /// frame, of which processes that don't know it read only the ping.
     pub fn is_optional(&self) -> bool {
-        matches!(self, Self::Quarantine(_))
+        matches!(self, Self::Quarantine(_) | Self::Contacts(_))
     }
 }
 
--- a/crates/yucca-own/src/site.rs
+++ b/crates/yucca-own/src/site.rs
@@ -4,6 +4,7 @@
 //! range of keys. [`State::apply`] is deterministic. State that only the leader has, such as the
 //! leases, is in [`lease`].
 
+pub mod admission;
 pub mod balance;
 pub mod delta;
 pub mod item;
--- a/crates/yucca-own/src/site/lease.rs
+++ b/crates/yucca-own/src/site/lease.rs
@@ -2,8 +2,9 @@
 //!
 //! A target holds keys until its lease expires; each answer to a heartbeat renews it. A stripe gets
 //! another owner only once its present owner is known not to hold it: the owner has released it, its
-//! lease has expired on the slowest allowed clock, or the target has been replaced. A new leader does
-//! not know the renewals of its predecessor, so it treats every lease as renewed at its election.
+//! lease has expired on the slowest allowed clock, or the target has started again at its address. A
+//! new leader does not know the renewals of its predecessor, so it treats every lease as renewed at
+//! its election.
 
 mod heartbeat;
 mod plan;
@@ -119,6 +120,21 @@
         self.holder(number).last_contact = now;
     }
 
+    /// Returns whether a target may still be up or hold keys. A target that has deregistered sends no
+    /// further heartbeats, so only its lease counts.
+    pub fn may_be_up(&self, record: &target::Record, now: time::Duration) -> bool {
+        let from_election = self.elected_at + self.config.expiry();
+        let Some(holder) = self.holders.get(&record.number) else {
+            return now < from_election;
+        };
+        let silent_from = holder.last_contact + self.config.expiry();
+        match record.target.phase {
+            target::Phase::Ready | target::Phase::Draining => now < holder.expires.max(silent_from),
+            target::Phase::Left => now < holder.expires,
+            target::Phase::Gone => false,
+        }
+    }
+
     /// Records the measurements of an entry host.
     pub fn record_report(&mut self, report: &balance::Report, now: time::Duration) {
         self.balance.record_report(report, now);
@@ -300,10 +316,16 @@
         free
     }
 
-    /// Returns whether a target is known not to hold any keys.
+    /// Returns whether a target is known not to hold any keys. If another target has its name or
+    /// address, its lease still counts: it may be up, and only the other one says that it is not.
     fn has_ended(&self, state: &State, number: target::Number, now: time::Duration) -> bool {
-        let record = state.targets.get(number);
-        if record.is_none_or(|record| record.target.phase == target::Phase::Gone) {
+        let Some(record) = state.targets.get(number) else {
+            return true;
+        };
+        let target = &record.target;
+        let latest = state.targets.latest(&target.instance.name);
+        let restarted = latest.is_some_and(|latest| target.is_restarted_as(&latest.target));
+        if target.phase == target::Phase::Gone && restarted {
             return true;
         }
         let holder = self.holders.get(&number);
--- a/crates/yucca-own/src/site/target.rs
+++ b/crates/yucca-own/src/site/target.rs
@@ -78,6 +78,16 @@
     pub phase: Phase,
 }
 
+impl Target {
+    /// Returns whether another instance is this target, which has started again at its address. That
+    /// shows that this instance has ended.
+    pub fn is_restarted_as(&self, other: &Self) -> bool {
+        self.instance.name == other.instance.name
+            && self.instance.started < other.instance.started
+            && self.address == other.address
+    }
+}
+
 /// Stored state of a target.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Record {
@@ -119,6 +129,17 @@
             .filter(|record| record.target.instance == *instance)
     }
 
+    /// Returns the targets that the announcement of a new instance marks as gone: earlier instances
+    /// with its name or its address.
+    pub fn predecessors<'a>(&'a self, target: &'a Target) -> impl Iterator<Item = &'a Record> {
+        self.records.values().filter(|record| {
+            let same = record.target.instance.name == target.instance.name
+                || record.target.address == target.address;
+            same && record.target.phase < Phase::Gone
+                && record.target.instance.started < target.instance.started
+        })
+    }
+
     /// Returns whether an announcement would change the state.
     pub fn would_change(&self, target: &Target) -> bool {
         match self.latest(&target.instance.name) {
@@ -190,13 +211,7 @@
     /// Marks earlier instances, and earlier targets at the same address, as gone.
     fn end_predecessors(&mut self, version: id::Version, target: &Target) {
         let ended: Vec<Number> = self
-            .records
-            .values()
-            .filter(|record| {
-                let same = record.target.instance.name == target.instance.name
-                    || record.target.address == target.address;
-                same && record.target.instance.started < target.instance.started
-            })
+            .predecessors(target)
             .map(|record| record.number)
             .collect();
         for number in ended {
