Store the deregistration of a target that is not registered yet

Cause: Core::leave answered "done" for an instance that the leader did not know, or of which it knew an earlier start only, and stored nothing; the line "leaves" is missing in the leader's log.

Such a deregistration now stores a record of an instance that has left, in the log, as an announcement without a service. What can't be stored gets 503: an unknown target without a start time, a later start of a target that is heard from, and any beyond the bound. An older build applies and reads the entry like any other announcement.

--- a/crates/yucca-fleet/src/control/announce.rs
+++ b/crates/yucca-fleet/src/control/announce.rs
@@ -126,6 +126,17 @@
         self.with_registry(|leases| admission::admit(&machine.state, leases, target, now))
     }
 
+    /// Decides on the deregistration of a target.
+    pub(super) fn depart(
+        &self,
+        name: &site::item::Name,
+        started: Option<u64>,
+    ) -> admission::Departure {
+        let now = self.clock.now();
+        let machine = lock(&self.machine);
+        self.with_registry(|leases| admission::depart(&machine.state, leases, name, started, now))
+    }
+
     /// Records that a target was heard from whose announcement does not need the leader.
     fn hear(&self, instance: &target::Instance) {
         let machine = lock(&self.machine);
--- a/crates/yucca-fleet/src/control/call.rs
+++ b/crates/yucca-fleet/src/control/call.rs
@@ -12,7 +12,7 @@
 use tokio::sync::watch;
 use yucca_control::replica;
 use yucca_log::node;
-use yucca_own::site;
+use yucca_own::site::{self, admission};
 
 use crate::control::Core;
 use crate::dialect::operator;
@@ -175,16 +175,19 @@
         started: Option<u64>,
     ) -> Result<operator::Answer, message::Refusal> {
         self.confirm().await?;
-        let instance = {
-            let machine = lock(&self.machine);
-            let record = machine.state.targets.latest(&name);
-            record.map(|record| record.target.instance.clone())
-        };
-        let instance =
-            instance.filter(|instance| started.is_none_or(|started| started == instance.started));
-        if let Some(instance) = instance {
-            log::info!("target={instance} leaves");
-            self.propose(&site::Command::Leave(instance)).await?;
+        match self.depart(&name, started) {
+            admission::Departure::Leave(instance) => {
+                log::info!("target={instance} leaves");
+                self.propose(&site::Command::Leave(instance)).await?;
+            }
+            admission::Departure::Store(target) => {
+                log::info!("target={} leaves before it was announced", target.instance);
+                self.propose(&site::Command::Announce(target)).await?;
+            }
+            admission::Departure::Superseded => {}
+            admission::Departure::Refuse(reason) => {
+                return Err(message::Refusal::Unavailable(reason));
+            }
         }
         Ok(operator::Answer::Done)
     }
--- a/crates/yucca-own/src/site/target.rs
+++ b/crates/yucca-own/src/site/target.rs
@@ -5,10 +5,14 @@
 
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3;
 use yucca_wire::id;
 
 use crate::site::item;
 
+/// Prefix of addresses that reach no host (RFC 6666).
+const DISCARD_PREFIX: u128 = 0x0100 << 112;
+
 /// One start of a target: a restart under the same name is another instance.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Instance {
@@ -79,6 +83,22 @@
 }
 
 impl Target {
+    /// Returns the record of an instance that has deregistered before its first announcement. That
+    /// announcement, if it arrives late, finds an instance that has left. Such a record has no
+    /// service, and an address that no target can have and no other record has.
+    pub fn departed(instance: Instance) -> Self {
+        let unique = xxh3::xxh3_64(instance.name.0.as_bytes());
+        let address = DISCARD_PREFIX | u128::from(unique);
+        Self {
+            instance,
+            service: item::Name::default(),
+            address: net::SocketAddr::new(net::Ipv6Addr::from_bits(address).into(), 0),
+            domain: item::Name::default(),
+            slots: 0,
+            phase: Phase::Left,
+        }
+    }
+
     /// Returns whether another instance is this target, which has started again at its address. That
     /// shows that this instance has ended.
     pub fn is_restarted_as(&self, other: &Self) -> bool {
@@ -129,6 +149,17 @@
             .filter(|record| record.target.instance == *instance)
     }
 
+    /// Returns the number of instances that have deregistered and were never announced.
+    pub fn departed_count(&self) -> usize {
+        let records = self.records.values();
+        records
+            .filter(|record| {
+                let target = &record.target;
+                target.phase == Phase::Left && target.service == item::Name::default()
+            })
+            .count()
+    }
+
     /// Returns the targets that the announcement of a new instance marks as gone: earlier instances
     /// with its name or its address.
     pub fn predecessors<'a>(&'a self, target: &'a Target) -> impl Iterator<Item = &'a Record> {
