End connections whose limits are no longer in effect

Cause: the HTTP library takes the size of its buffer and the idle time when a connection is made, and the server read the limits there, once. New connections to the same host had the new limit at the same moment.

A connection now ends as soon as other limits are in effect, at once if idle, else after the answer to its request. A larger buffer and a check of each head would let every connection hold the largest head to come. A body may be as large as any limit allows that was in force while it was read.

--- a/crates/yucca-fleet/src/control/call.rs
+++ b/crates/yucca-fleet/src/control/call.rs
@@ -61,12 +61,12 @@
         })
     }
 
-    fn head_timeout(&self) -> time::Duration {
-        HEAD_TIMEOUT
-    }
-
-    fn head_bytes(&self) -> usize {
-        MAX_HEAD_BYTES
+    fn limits(&self) -> watch::Receiver<server::Limits> {
+        server::Limits {
+            head_timeout: HEAD_TIMEOUT,
+            head_bytes: MAX_HEAD_BYTES,
+        }
+        .fixed()
     }
 }
 
--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -61,6 +61,8 @@
     target: Box<dyn target::Target>,
     clock: clock::Clock,
     view: ArcSwap<view::View>,
+    /// The limits of callers' connections.
+    limits: watch::Sender<server::Limits>,
     dispatcher: sync::Arc<dispatcher::Dispatcher>,
     pool: pool::Pool,
     /// Whether this host has reached the newest version of the state since its start.
@@ -127,6 +129,7 @@
             target,
             clock: clock::Clock::default(),
             view: ArcSwap::default(),
+            limits: watch::Sender::new(request::connection_limits(None)),
             pool: pool::Pool::default(),
             synced: watch::Sender::new(false),
             stopping: watch::Sender::new(None),
@@ -220,11 +223,11 @@
         Box::pin(future::ready(answer))
     }
 
-    fn head_timeout(&self) -> time::Duration {
-        HEALTH_HEAD_TIMEOUT
-    }
-
-    fn head_bytes(&self) -> usize {
-        HEALTH_MAX_HEAD_BYTES
+    fn limits(&self) -> watch::Receiver<server::Limits> {
+        server::Limits {
+            head_timeout: HEALTH_HEAD_TIMEOUT,
+            head_bytes: HEALTH_MAX_HEAD_BYTES,
+        }
+        .fixed()
     }
 }
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -10,7 +10,7 @@
 use yucca_own::site::{self, delta, item, target};
 use yucca_wire::id;
 
-use crate::entry::{Core, gossip, quarantine, view};
+use crate::entry::{Core, gossip, quarantine, request, view};
 use crate::mesh::{link, message};
 use crate::mutex::lock;
 
@@ -308,9 +308,16 @@
 
     fn publish_view(&self) {
         let now = self.core.clock.now();
-        self.core
-            .view
-            .store(sync::Arc::new(view::View::new(&self.state)));
+        let view = view::View::new(&self.state);
+        let limits = request::connection_limits(view.limits.as_ref());
+        self.core.view.store(sync::Arc::new(view));
+        let changed = self.core.limits.send_if_modified(|known| {
+            let before = std::mem::replace(known, limits);
+            before != limits
+        });
+        if changed {
+            log::info!("{limits:?} in effect; connections with others end after their request");
+        }
         let mut facts: IndexMap<&item::Name, Vec<shared::Facts>> = IndexMap::new();
         for (key, _) in self.state.items.active() {
             if key.kind == item::Kind::Service {
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -3,12 +3,13 @@
 use std::sync;
 use std::time;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use futures_util::future;
 use http::{HeaderMap, Request, Response, header, request, response};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Full};
 use hyper::body;
 use rand::Rng;
+use tokio::sync::watch;
 use yucca_lane::shared::{limit, quarantine, service};
 use yucca_own::site::{item, range, target as site};
 
@@ -74,20 +75,17 @@
         })
     }
 
-    fn head_timeout(&self) -> time::Duration {
-        let view = self.0.view.load();
-        view.limits
-            .as_ref()
-            .map_or(DEFAULT_HEAD_TIMEOUT, |limits| limits.idle_timeout)
+    fn limits(&self) -> watch::Receiver<server::Limits> {
+        self.0.limits.subscribe()
     }
+}
 
-    fn head_bytes(&self) -> usize {
-        let view = self.0.view.load();
-        let wanted = view
-            .limits
-            .as_ref()
-            .map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes as usize);
-        wanted.max(MIN_HEAD_BYTES)
+/// Returns the limits of a connection. `None` means that none are configured yet.
+pub(super) fn connection_limits(limits: Option<&item::Limits>) -> server::Limits {
+    let head_bytes = limits.map_or(DEFAULT_HEAD_BYTES, |limits| limits.head_bytes as usize);
+    server::Limits {
+        head_timeout: limits.map_or(DEFAULT_HEAD_TIMEOUT, |limits| limits.idle_timeout),
+        head_bytes: head_bytes.max(MIN_HEAD_BYTES),
     }
 }
 
@@ -157,21 +155,9 @@
             let refusal = caller::Refusal::NotRun(time::Duration::ZERO);
             return self.caller.refuse(Some(&head.id), refusal);
         }
-        let limit = view.limits.as_ref().map_or(DEFAULT_BODY_BYTES, |limits| {
-            usize::try_from(limits.body_bytes).unwrap_or(usize::MAX)
-        });
-        let body = match Limited::new(body, limit).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) => {
-                log::info!("request={:?} body refused: {error}", head.id);
-                let large = error.is::<http_body_util::LengthLimitError>();
-                let refusal = if large {
-                    caller::Refusal::TooLarge
-                } else {
-                    caller::Refusal::Malformed
-                };
-                return self.caller.refuse(Some(&head.id), refusal);
-            }
+        let body = match self.read_body(&head.id, body).await {
+            Ok(body) => body,
+            Err(refusal) => return self.caller.refuse(Some(&head.id), refusal),
         };
         let job = Job {
             service: choose(&route.route),
@@ -194,6 +180,42 @@
         answer
     }
 
+    /// Reads the body of a request. It may be as large as the limit at its start or any later one
+    /// allows.
+    async fn read_body(
+        &self,
+        id: &Bytes,
+        mut body: body::Incoming,
+    ) -> Result<Bytes, caller::Refusal> {
+        let mut limit = self.body_limit();
+        // Frames are copied, because those of few bytes take many times their size.
+        let mut bytes = BytesMut::new();
+        while let Some(frame) = body.frame().await {
+            let frame = frame.map_err(|error| {
+                log::info!("request={id:?} body refused: {error}");
+                caller::Refusal::Malformed
+            })?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            limit = limit.max(self.body_limit());
+            if bytes.len() + data.len() > limit {
+                log::info!("request={id:?} body refused: it exceeds {limit} bytes");
+                return Err(caller::Refusal::TooLarge);
+            }
+            bytes.extend_from_slice(&data);
+        }
+        Ok(bytes.freeze())
+    }
+
+    /// Returns the maximum size of a body, in bytes.
+    fn body_limit(&self) -> usize {
+        let view = self.view.load();
+        view.limits.as_ref().map_or(DEFAULT_BODY_BYTES, |limits| {
+            usize::try_from(limits.body_bytes).unwrap_or(usize::MAX)
+        })
+    }
+
     fn unrouted(
         &self,
         view: &view::View,
--- a/crates/yucca-fleet/src/metric.rs
+++ b/crates/yucca-fleet/src/metric.rs
@@ -9,6 +9,7 @@
 use http::{Request, Response};
 use http_body_util::Full;
 use hyper::body;
+use tokio::sync::watch;
 use yucca_control::process::metric;
 
 use crate::error::Error;
@@ -48,11 +49,11 @@
         Box::pin(future::ready(Response::new(Full::new(text.into()))))
     }
 
-    fn head_timeout(&self) -> time::Duration {
-        HEAD_TIMEOUT
-    }
-
-    fn head_bytes(&self) -> usize {
-        MAX_HEAD_BYTES
+    fn limits(&self) -> watch::Receiver<server::Limits> {
+        server::Limits {
+            head_timeout: HEAD_TIMEOUT,
+            head_bytes: MAX_HEAD_BYTES,
+        }
+        .fixed()
     }
 }
--- a/crates/yucca-fleet/src/server.rs
+++ b/crates/yucca-fleet/src/server.rs
@@ -30,11 +30,25 @@
         request: Request<body::Incoming>,
     ) -> future::BoxFuture<'static, Response<Full<Bytes>>>;
 
-    /// Returns the maximum time that a connection waits for a complete request head.
-    fn head_timeout(&self) -> time::Duration;
+    /// Returns the limits in effect, which may change.
+    fn limits(&self) -> watch::Receiver<Limits>;
+}
 
-    /// Returns the maximum size of a request head, in bytes.
-    fn head_bytes(&self) -> usize;
+/// Limits of a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Maximum time that it waits for a complete request head, which includes the time that it is
+    /// idle.
+    pub head_timeout: time::Duration,
+    /// Maximum size of a request head, in bytes.
+    pub head_bytes: usize,
+}
+
+impl Limits {
+    /// Returns limits that never change.
+    pub fn fixed(self) -> watch::Receiver<Self> {
+        watch::channel(self).1
+    }
 }
 
 /// Running server. If dropped, it ends at once, as in a killed process.
@@ -105,27 +119,29 @@
     while tasks.join_next().await.is_some() {}
 }
 
+/// Serves a connection. Its limits are those at its start, so it ends after the open request once
+/// others are in effect.
 async fn connection<H: Handler>(
     stream: tokio::net::TcpStream,
     handler: sync::Arc<H>,
     mut stop: watch::Receiver<bool>,
 ) {
-    let head_bytes = handler.head_bytes();
-    let timeout = handler.head_timeout();
+    let mut limits = handler.limits();
+    let at_start = *limits.borrow_and_update();
     let answer = service::service_fn(move |request| {
         let answer = handler.clone().handle(request);
         async move { Ok::<_, convert::Infallible>(answer.await) }
     });
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(timeout)
-        .max_buf_size(head_bytes)
+        .header_read_timeout(at_start.head_timeout)
+        .max_buf_size(at_start.head_bytes)
         .auto_date_header(false)
         .serve_connection(TokioIo::new(stream), answer);
     let mut served = std::pin::pin!(served);
     let ended = tokio::select! {
         ended = served.as_mut() => ended,
-        () = stopped(&mut stop) => {
+        () = ends_early(&mut stop, &mut limits, at_start) => {
             served.as_mut().graceful_shutdown();
             served.await
         }
@@ -135,6 +151,24 @@
     }
 }
 
+/// Waits until the server stops or other limits are in effect.
+async fn ends_early(
+    stop: &mut watch::Receiver<bool>,
+    limits: &mut watch::Receiver<Limits>,
+    at_start: Limits,
+) {
+    let changed = async {
+        if limits.wait_for(|limits| *limits != at_start).await.is_err() {
+            // They never change.
+            future::pending::<()>().await;
+        }
+    };
+    tokio::select! {
+        () = stopped(stop) => {}
+        () = changed => {}
+    }
+}
+
 /// Waits until `stop` is set or its sender is dropped.
 async fn stopped(stop: &mut watch::Receiver<bool>) {
     stop.wait_for(|stop| *stop).await.ok();
