Count crashes of a request only if it was sent again, and try a refused request

Cause: the quarantine counted instances. Seven copies ran on four targets of a domain; all ended within 2 ms, and all three hosts refused the digest within the same 2 ms. Only an answer clears a request, and one that is refused everywhere gets none.

A crash counts only if the request was sent to the target after the crash before it, for which hosts tell each other when it was sent, as a second piece of evidence that older hosts take for a repetition. After ten seconds the leader lets one host send a refused request once, so a healthy one is cleared and a deadly one costs one more target. The new message follows a ping. Times before the start of a process no longer fall together.

--- a/crates/yucca-fleet/src/control/peer.rs
+++ b/crates/yucca-fleet/src/control/peer.rs
@@ -146,6 +146,7 @@
             message::Message::Report(report) => self.record_report(&report),
             moving @ message::Message::Moving { .. } => self.forward_moving(&moving),
             message::Message::Quarantine(news) => self.handle_quarantine(&news),
+            message::Message::Trial(digest) => self.handle_trial(id, digest),
             message::Message::Contacts(numbers) => self.record_contacts(&numbers),
             message::Message::Hello(_)
             | message::Message::Ping
--- a/crates/yucca-fleet/src/control/quarantine.rs
+++ b/crates/yucca-fleet/src/control/quarantine.rs
@@ -6,7 +6,7 @@
 
 use crate::control::Core;
 use crate::control::peer::Peer;
-use crate::mesh::message;
+use crate::mesh::{link, message};
 use crate::mutex::lock;
 
 impl Core {
@@ -22,25 +22,40 @@
         }
     }
 
+    /// Lets an entry host send a refused request once, if that is due and this host is the leader.
+    pub(super) fn handle_trial(&self, id: link::Id, digest: quarantine::Digest) {
+        if !self.replica.status().leads {
+            return;
+        }
+        let peers = lock(&self.peers);
+        let due = lock(&self.quarantine).start_trial(&digest, self.clock.now());
+        if let Some(peer) = peers.get(&id).filter(|_| due) {
+            log::info!("digest={digest} may be sent once by {}", peer.hello().host);
+            let _ = peer.send(message::Message::Trial(digest));
+        }
+    }
+
     /// Tells an entry host that has just connected all that is known.
     pub(super) fn tell_quarantine(&self, peer: &Peer) {
-        let known = lock(&self.quarantine).all(self.clock.now()).into_iter();
-        tell(
-            peer,
-            &quarantine::News {
-                crashes: known.filter(concerns_all).collect(),
-                ..quarantine::News::default()
-            },
-        );
+        let table = lock(&self.quarantine);
+        let known = table.all(self.clock.now()).into_iter();
+        let crashes = known.filter(|evidence| table.concerns_all(&evidence.digest));
+        let news = quarantine::News {
+            crashes: crashes.collect(),
+            ..quarantine::News::default()
+        };
+        drop(table);
+        tell(peer, &news);
     }
 
     /// Returns the changes that concern all hosts.
     fn merge(&self, news: &quarantine::News, now: time::Duration) -> quarantine::News {
         let mut table = lock(&self.quarantine);
         let mut told = quarantine::News::default();
-        for seen in &news.crashes {
-            let added = table.merge(seen, now);
-            told.crashes.extend(added.filter(concerns_all));
+        for (digest, known) in table.merge_all(&news.crashes, now) {
+            if table.concerns_all(&digest) {
+                told.crashes.extend(known);
+            }
         }
         let cleared = news.cleared.iter().filter(|digest| table.clear(digest));
         told.cleared.extend(cleared);
@@ -48,11 +63,6 @@
     }
 }
 
-/// Returns whether other hosts have to know of the request, to refuse it or to report an answer.
-fn concerns_all(evidence: &quarantine::Evidence) -> bool {
-    evidence.targets.len() >= quarantine::SUSPECT_CRASHES
-}
-
 /// Sends changes to an entry host. One that misses them gets all when it connects again.
 fn tell(peer: &Peer, news: &quarantine::News) {
     if peer.hello().role == message::Role::Entry && !news.is_empty() {
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -59,7 +59,7 @@
     hello: message::Hello,
     events: mpsc::Sender<link::Event>,
     mut received: mpsc::Receiver<link::Event>,
-    mut news: quarantine::News,
+    mut quarantined: mpsc::Receiver<quarantine::Outgoing>,
 ) {
     let mut follower = Follower {
         hello,
@@ -85,7 +85,10 @@
                 None => return,
             },
             _ = reports.tick() => follower.tick(),
-            Some(news) = news.recv() => follower.tell(&news),
+            Some(outgoing) = quarantined.recv() => match outgoing {
+                quarantine::Outgoing::News(news) => follower.tell(&news),
+                quarantine::Outgoing::Trial(digest) => follower.ask_leader(digest),
+            },
             Ok(()) = seeds.changed() => {
                 let named = seeds.borrow_and_update().clone();
                 log::info!("seeds={named:?} in effect");
@@ -168,6 +171,16 @@
         }
     }
 
+    /// Asks the leader whether this host may send a refused request once. If the question is lost, the
+    /// request is refused.
+    fn ask_leader(&self, digest: shared_quarantine::Digest) {
+        let mut links = self.links.values();
+        let leader = links.find(|control| Some(control.peer.ip) == self.leader);
+        if let Some(leader) = leader {
+            let _ = leader.link.send(message::Message::Trial(digest));
+        }
+    }
+
     fn handle_closed(&mut self, id: link::Id, reason: &str) {
         if let Some(control) = self.links.swap_remove(&id) {
             log::info!(
@@ -193,6 +206,7 @@
                 let now = self.core.clock.now();
                 self.core.quarantine.merge(&news, now);
             }
+            message::Message::Trial(digest) => self.core.quarantine.permit(&digest),
             message::Message::Hello(_)
             | message::Message::Ping
             | message::Message::Log(_)
--- a/crates/yucca-fleet/src/entry/quarantine.rs
+++ b/crates/yucca-fleet/src/entry/quarantine.rs
@@ -3,32 +3,47 @@
 use std::sync;
 use std::time;
 
-use tokio::sync::mpsc;
+use indexmap::{IndexMap, IndexSet};
+use tokio::sync::{mpsc, oneshot};
 use yucca_lane::shared::quarantine;
 use yucca_own::site::target as site;
 
 use crate::entry::{Core, crash, view};
 use crate::mutex::lock;
 
-/// Maximum number of changes that wait to be told to control hosts.
-const MAX_QUEUED_NEWS: usize = 256;
+/// Maximum number of messages that wait to be sent to control hosts.
+const MAX_QUEUED: usize = 256;
+
+/// Minimum interval between questions to the leader about one request.
+const TRIAL_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
+/// Maximum time that a request waits for the leader's answer. Without one it is refused.
+const TRIAL_TIMEOUT: time::Duration = time::Duration::from_millis(100);
 
 /// What this host knows of requests that crash targets.
 pub struct Quarantine {
     table: sync::Mutex<quarantine::Table>,
-    news: mpsc::Sender<quarantine::News>,
+    queue: mpsc::Sender<Outgoing>,
+    /// Questions to the leader about refused requests, with the time of each.
+    trials: sync::Mutex<IndexMap<quarantine::Digest, (time::Duration, oneshot::Sender<()>)>>,
 }
 
-/// Changes to tell the control hosts.
-pub type News = mpsc::Receiver<quarantine::News>;
+/// Message to control hosts.
+pub enum Outgoing {
+    /// Changes to tell all of them.
+    News(quarantine::News),
+    /// Question to the leader whether this host may send a refused request once.
+    Trial(quarantine::Digest),
+}
 
 impl Quarantine {
     /// Creates an empty quarantine.
-    pub fn new() -> (Self, News) {
-        let (news, receiver) = mpsc::channel(MAX_QUEUED_NEWS);
+    pub fn new() -> (Self, mpsc::Receiver<Outgoing>) {
+        let (queue, receiver) = mpsc::channel(MAX_QUEUED);
         let quarantine = Self {
             table: sync::Mutex::default(),
-            news,
+            queue,
+            trials: sync::Mutex::default(),
         };
         (quarantine, receiver)
     }
@@ -69,15 +84,43 @@
     /// Adds what a control host has told.
     pub fn merge(&self, news: &quarantine::News, now: time::Duration) {
         let mut table = lock(&self.table);
-        for seen in &news.crashes {
-            add(&mut table, seen, now);
-        }
+        add(&mut table, &news.crashes, now);
         for digest in &news.cleared {
             table.clear(digest);
         }
         count_refused(&table, now);
     }
 
+    /// Asks the leader whether this host may send a refused request once. Returns a receiver of the
+    /// permission, or `None` if a trial is not due or the leader was asked a moment ago.
+    fn ask(
+        &self,
+        digest: quarantine::Digest,
+        now: time::Duration,
+    ) -> Option<oneshot::Receiver<()>> {
+        if !lock(&self.table).is_trial_due(&digest, now) {
+            return None;
+        }
+        let mut trials = lock(&self.trials);
+        trials.retain(|_, (asked, _)| now < *asked + TRIAL_INTERVAL);
+        if trials.contains_key(&digest) {
+            return None;
+        }
+        let (sender, receiver) = oneshot::channel();
+        self.queue.try_send(Outgoing::Trial(digest)).ok()?;
+        trials.insert(digest, (now, sender));
+        Some(receiver)
+    }
+
+    /// Handles the leader's permission to send a refused request once.
+    pub fn permit(&self, digest: &quarantine::Digest) {
+        let asked = lock(&self.trials).swap_remove(digest);
+        if let Some((_, sender)) = asked {
+            // The request may have given up.
+            sender.send(()).ok();
+        }
+    }
+
     /// Returns all that is known, for a control host that may have started after it.
     pub fn all(&self, now: time::Duration) -> quarantine::News {
         quarantine::News {
@@ -86,70 +129,100 @@
         }
     }
 
-    fn record_crash(&self, seen: &quarantine::Evidence, now: time::Duration) {
-        let added = add(&mut lock(&self.table), seen, now);
-        if let Some(evidence) = added {
+    fn record_crash(&self, crash: &[quarantine::Evidence], now: time::Duration) {
+        let crashes = add(&mut lock(&self.table), crash, now);
+        if !crashes.is_empty() {
             self.tell(quarantine::News {
-                crashes: vec![evidence],
+                crashes,
                 ..quarantine::News::default()
             });
         }
     }
 
     fn tell(&self, news: quarantine::News) {
-        if self.news.try_send(news).is_err() {
+        if self.queue.try_send(Outgoing::News(news)).is_err() {
             log::warn!(
-                "{MAX_QUEUED_NEWS} changes of quarantined requests wait for control hosts; one is lost"
+                "{MAX_QUEUED} messages about quarantined requests wait for control hosts; one is lost"
             );
         }
     }
 }
 
-/// Adds evidence to a table, and logs that a request is refused from now on.
+/// Adds evidence to a table, and logs which requests are refused from now on. Returns all that is
+/// known of the requests of which that is more than before.
 fn add(
     table: &mut quarantine::Table,
-    seen: &quarantine::Evidence,
+    seen: &[quarantine::Evidence],
     now: time::Duration,
-) -> Option<quarantine::Evidence> {
-    let before = table.is_refused(&seen.digest, now);
-    let added = table.merge(seen, now)?;
-    if !before && table.is_refused(&seen.digest, now) {
-        let targets: Vec<String> = added.targets.iter().map(ToString::to_string).collect();
-        log::warn!(
-            "digest={} refused: targets {} ended while they ran it",
-            seen.digest,
-            targets.join(" ")
-        );
+) -> Vec<quarantine::Evidence> {
+    let digests: IndexSet<quarantine::Digest> = seen.iter().map(|part| part.digest).collect();
+    let accepted: Vec<quarantine::Digest> = digests
+        .into_iter()
+        .filter(|digest| !table.is_refused(digest, now))
+        .collect();
+    let more = table.merge_all(seen, now);
+    for digest in accepted {
+        if table.is_refused(&digest, now) {
+            let targets = table.crashed(&digest);
+            let targets: Vec<String> = targets.iter().map(ToString::to_string).collect();
+            log::warn!(
+                "digest={digest} refused: it was sent again each time, and targets {} ended while \
+                 they ran it",
+                targets.join(" ")
+            );
+        }
     }
     count_refused(table, now);
-    Some(added)
+    more.into_values().flatten().collect()
 }
 
 fn count_refused(table: &quarantine::Table, now: time::Duration) {
     metrics::gauge!("yucca_entry_quarantined_requests").set(table.refused_count(now) as f64);
 }
 
+/// Attempt that ended without an answer.
+pub(super) struct Lost {
+    /// The request.
+    pub digest: quarantine::Digest,
+    /// The instance that it was sent to.
+    pub number: site::Number,
+    /// When it was sent.
+    pub sent: time::Duration,
+    /// When its connection ended.
+    pub ended: time::Duration,
+}
+
 impl Core {
     /// Checks whether a target has ended while it ran a request.
-    pub(super) async fn check_crash(
-        self: sync::Arc<Self>,
-        digest: quarantine::Digest,
-        number: site::Number,
-        target: view::Target,
-    ) {
+    pub(super) async fn check_crash(self: sync::Arc<Self>, lost: Lost, target: view::Target) {
         if !crash::has_ended(target.address).await {
             return;
         }
+        let Lost {
+            digest,
+            number,
+            sent,
+            ended,
+        } = lost;
         metrics::counter!("yucca_entry_crashes_total").increment(1);
         log::info!(
-            "target={} number={number} ended; ran digest={digest}",
-            target.name
+            "target={} number={number} ended; ran digest={digest} for {:?}",
+            target.name,
+            ended.saturating_sub(sent)
         );
-        let seen = quarantine::Evidence {
-            digest,
-            targets: vec![number],
-            age: time::Duration::ZERO,
+        let now = self.clock.now();
+        let [sent, ended] = [sent, ended].map(|at| now.saturating_sub(at));
+        let crash = quarantine::Evidence::crash(digest, number, sent, ended);
+        self.quarantine.record_crash(&crash, now);
+    }
+
+    /// Returns whether a refused request may be sent once, to find out whether it still crashes
+    /// targets.
+    pub(super) async fn may_try(&self, digest: quarantine::Digest) -> bool {
+        let Some(permission) = self.quarantine.ask(digest, self.clock.now()) else {
+            return false;
         };
-        self.quarantine.record_crash(&seen, self.clock.now());
+        let permitted = tokio::time::timeout(TRIAL_TIMEOUT, permission).await;
+        matches!(permitted, Ok(Ok(())))
     }
 }
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -1,6 +1,7 @@
 //! Handling of callers' requests, from routing to the answer.
 
 use std::sync;
+use std::sync::atomic;
 use std::time;
 
 use bytes::{Bytes, BytesMut};
@@ -14,7 +15,7 @@
 use yucca_own::site::{item, range, target as site};
 
 use crate::dialect::{caller, target};
-use crate::entry::{Core, exchange, history, pool, view};
+use crate::entry::{Core, exchange, history, pool, quarantine as entry_quarantine, view};
 use crate::mutex::lock;
 use crate::server;
 
@@ -99,6 +100,8 @@
     pub arrived: time::Duration,
     limit_at: time::Duration,
     digest: sync::OnceLock<quarantine::Digest>,
+    /// Whether it may be sent once although requests like it are refused.
+    trial: atomic::AtomicBool,
 }
 
 impl Job {
@@ -168,9 +171,10 @@
             arrived,
             limit_at,
             digest: sync::OnceLock::new(),
+            trial: atomic::AtomicBool::new(false),
         };
         let mut history = history::History::default();
-        let answer = if self.is_quarantined(&job) {
+        let answer = if self.is_quarantined(&job) && !self.start_trial(&job).await {
             self.refuse(&job, caller::Refusal::Quarantined)
         } else {
             self.dispatcher.record_request(&job.service, arrived);
@@ -345,6 +349,12 @@
         self.quarantine.refuses(|| job.digest(), self.clock.now())
     }
 
+    async fn start_trial(&self, job: &Job) -> bool {
+        let permitted = self.may_try(job.digest()).await;
+        job.trial.store(permitted, atomic::Ordering::Relaxed);
+        permitted
+    }
+
     fn may_retry(&self, job: &Job) -> bool {
         let now = self.clock.now();
         let hosts = lock(&self.host_peak).record(self.peers.load().count() + 1, now);
@@ -367,13 +377,27 @@
         self.caller.refuse(Some(&job.head.id), refusal)
     }
 
-    /// Sends the request to one target.
+    /// Sends the request to one target. A trial ends with the first target that may have run it.
     async fn attempt(
         self: &sync::Arc<Self>,
         job: &Job,
         history: &mut history::History,
         number: site::Number,
         token: Option<range::Token>,
+    ) -> Attempt {
+        let attempt = self.send(job, history, number, token).await;
+        if !matches!(attempt, Attempt::NotRun) {
+            job.trial.store(false, atomic::Ordering::Relaxed);
+        }
+        attempt
+    }
+
+    async fn send(
+        self: &sync::Arc<Self>,
+        job: &Job,
+        history: &mut history::History,
+        number: site::Number,
+        token: Option<range::Token>,
     ) -> Attempt {
         let start = self.clock.now();
         let mut flight = InFlight {
@@ -384,7 +408,7 @@
         };
         history.tried.push(number);
         // It may have become known while the request waited.
-        if self.is_quarantined(job) {
+        if !job.trial.load(atomic::Ordering::Relaxed) && self.is_quarantined(job) {
             return Attempt::Quarantined;
         }
         let Some(target) = self.view.load().targets.get(&number).cloned() else {
@@ -413,7 +437,13 @@
             Ok(exchange::Exchange::Lost(reason)) => {
                 history.record(&target.name, &reason);
                 history.sent += 1;
-                tokio::spawn(self.clone().check_crash(job.digest(), number, target));
+                let lost = entry_quarantine::Lost {
+                    digest: job.digest(),
+                    number,
+                    sent: start,
+                    ended: self.clock.now(),
+                };
+                tokio::spawn(self.clone().check_crash(lost, target));
                 flight.outcome = service::Outcome::Failed;
                 Attempt::Unknown
             }
--- a/crates/yucca-fleet/src/mesh/message.rs
+++ b/crates/yucca-fleet/src/mesh/message.rs
@@ -126,13 +126,19 @@
     /// Targets that the sender has heard from and told the leader nothing of, from a control host to
     /// the leader.
     Contacts(Vec<target::Number>),
+    /// From an entry host to the leader: may it send this request once, though it is refused? The
+    /// leader answers with the same message if it may, else not at all.
+    Trial(quarantine::Digest),
 }
 
 impl Message {
     /// Returns whether the receiver may ignore the message. It is sent after a ping in the same
     /// frame, of which processes that don't know it read only the ping.
     pub fn is_optional(&self) -> bool {
-        matches!(self, Self::Quarantine(_) | Self::Contacts(_))
+        matches!(
+            self,
+            Self::Quarantine(_) | Self::Contacts(_) | Self::Trial(_)
+        )
     }
 }
 
