Bound the memory that bodies of requests and answers take together

One target that sends interim answers without end was read up to the deadline (34 MB in a second).

Cause: each body was bounded by itself, and nothing bounded their sum; and what the HTTP library drops is not part of a body.

A request without room gets 503 after the rest of its body has been read and dropped, an answer without room counts as lost. Bodies have to arrive in time, also at control hosts. The bytes of a target are counted below the HTTP library, and heads of answers may take 64 KiB.

--- a/crates/yucca-fleet/src/control.rs
+++ b/crates/yucca-fleet/src/control.rs
@@ -24,6 +24,7 @@
 use yucca_log::node;
 use yucca_own::site::{lease, target};
 
+use crate::body;
 use crate::clock;
 use crate::dialect::operator;
 use crate::error::Error;
@@ -63,6 +64,8 @@
     settings: settings::Settings,
     dialect: Box<dyn operator::Operator>,
     clock: clock::Clock,
+    /// Memory for the bodies of requests.
+    bodies: sync::Arc<body::Budget>,
     replica: replica::Replica,
     /// Whether the state has contained all that was committed at some time since the start. Until
     /// then it may be older than what entry hosts have had before.
@@ -140,6 +143,7 @@
         let core = sync::Arc::new(Core {
             dialect,
             clock: clock::Clock::default(),
+            bodies: body::Budget::new(settings.memory),
             replica: replica::Replica::start(parts).map_err(Error::Storage)?,
             caught_up: atomic::AtomicBool::new(false),
             machine,
--- a/crates/yucca-fleet/src/control/call.rs
+++ b/crates/yucca-fleet/src/control/call.rs
@@ -7,13 +7,14 @@
 use bytes::Bytes;
 use futures_util::future;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body;
+use http_body_util::Full;
+use hyper::body::Incoming;
 use tokio::sync::watch;
 use yucca_control::replica;
 use yucca_log::node;
 use yucca_own::site::{self, admission};
 
+use crate::body;
 use crate::control::Core;
 use crate::dialect::operator;
 use crate::mesh::message;
@@ -29,6 +30,9 @@
 /// Maximum time that a connection waits for a complete request head.
 const HEAD_TIMEOUT: time::Duration = time::Duration::from_secs(30);
 
+/// Maximum time in which the body of a request arrives.
+const BODY_TIMEOUT: time::Duration = time::Duration::from_secs(30);
+
 /// Maximum time to perform a request, which includes waiting for a quorum.
 const REQUEST_TIMEOUT: time::Duration = time::Duration::from_millis(2_500);
 
@@ -45,7 +49,7 @@
 impl server::Handler for Handler {
     fn handle(
         self: sync::Arc<Self>,
-        request: Request<body::Incoming>,
+        request: Request<Incoming>,
     ) -> future::BoxFuture<'static, Response<Full<Bytes>>> {
         Box::pin(async move {
             let path = request.uri().path().to_owned();
@@ -71,14 +75,24 @@
 }
 
 impl Core {
-    async fn answer(self: sync::Arc<Self>, request: Request<body::Incoming>) -> operator::Answer {
-        let (parts, body) = request.into_parts();
-        let body = match Limited::new(body, MAX_BODY_BYTES).collect().await {
-            Ok(body) => body.to_bytes(),
-            Err(error) => {
-                let reason = format!("the body can't be read: {error}");
+    async fn answer(self: sync::Arc<Self>, request: Request<Incoming>) -> operator::Answer {
+        let (parts, mut incoming) = request.into_parts();
+        let read = body::read(&mut incoming, &self.bodies, || MAX_BODY_BYTES);
+        let read = tokio::time::timeout(BODY_TIMEOUT, read).await;
+        let body = match read {
+            Ok(Ok(body)) => body,
+            Ok(Err(body::Error::NoRoom)) => {
+                let reason = body::Error::NoRoom;
+                return operator::Answer::Unavailable(format!("the body {reason}"));
+            }
+            Ok(Err(error)) => {
+                let reason = format!("the body {error}");
                 return operator::Answer::Invalid(operator::Error::Malformed(reason));
             }
+            Err(_) => {
+                let reason = format!("the body was not complete within {BODY_TIMEOUT:?}");
+                return operator::Answer::Unavailable(reason);
+            }
         };
         let call = match self.dialect.read(&parts.method, parts.uri.path(), &body) {
             Ok(call) => call,
--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -6,6 +6,7 @@
 mod follow;
 mod gossip;
 mod history;
+mod metered;
 mod peak;
 mod pool;
 mod quarantine;
@@ -21,13 +22,14 @@
 use futures_util::future;
 use http::{Request, Response, StatusCode};
 use http_body_util::Full;
-use hyper::body;
+use hyper::body::Incoming;
 use rand::Rng;
 use tokio::net::UdpSocket;
 use tokio::sync::{mpsc, watch};
 use tokio::task;
 use yucca_lane::shared::window;
 
+use crate::body;
 use crate::clock;
 use crate::dialect::{caller, target};
 use crate::error;
@@ -65,6 +67,8 @@
     limits: watch::Sender<server::Limits>,
     dispatcher: sync::Arc<dispatcher::Dispatcher>,
     pool: pool::Pool,
+    /// Memory for the bodies of requests and answers.
+    bodies: sync::Arc<body::Budget>,
     /// Whether this host has reached the newest version of the state since its start.
     synced: watch::Sender<bool>,
     /// When requests are cut off, if the process is stopping.
@@ -124,6 +128,7 @@
                 extra: retries.extra,
             })),
             seeds: watch::Sender::new(settings.seeds.clone()),
+            bodies: body::Budget::new(settings.memory),
             settings,
             caller,
             target,
@@ -211,7 +216,7 @@
 impl server::Handler for Health {
     fn handle(
         self: sync::Arc<Self>,
-        _request: Request<body::Incoming>,
+        _request: Request<Incoming>,
     ) -> future::BoxFuture<'static, Response<Full<Bytes>>> {
         let status = if self.0.is_ready() {
             StatusCode::OK
--- a/crates/yucca-fleet/src/entry/exchange.rs
+++ b/crates/yucca-fleet/src/entry/exchange.rs
@@ -1,13 +1,15 @@
 //! One request to one target.
 
 use std::net;
+use std::sync;
 use std::time;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use http::{HeaderMap, Request, Response, header, response};
-use http_body_util::{BodyExt, Full};
-use hyper::body;
+use http_body_util::Full;
+use hyper::body::Incoming;
 
+use crate::body;
 use crate::entry::pool;
 
 /// Maximum idle time of a connection on which a request that must not run twice is sent. One that
@@ -18,6 +20,11 @@
 /// Maximum size of the body of an answer, in bytes. A faulty target may write without end.
 const MAX_BODY_BYTES: usize = 4 << 20;
 
+/// Number of bytes that a target may send before the end of the head of its answer, and from then on.
+/// This includes what the HTTP library drops: interim answers, and the frame of each chunk.
+const MAX_BYTES_BEFORE_ANSWER: usize = 4 * pool::MAX_HEAD_BYTES;
+const MAX_BYTES_OF_ANSWER: usize = 4 * MAX_BODY_BYTES;
+
 /// A complete answer.
 pub struct Answer {
     /// Its head.
@@ -53,7 +60,11 @@
 
 /// Sends a request and waits for the complete answer. If the future is dropped, the connection is
 /// closed, which stops the work at the target.
-pub async fn run(pool: &pool::Pool, outgoing: Outgoing<'_>) -> Exchange {
+pub async fn run(
+    pool: &pool::Pool,
+    bodies: &sync::Arc<body::Budget>,
+    outgoing: Outgoing<'_>,
+) -> Exchange {
     let within = if outgoing.idempotent {
         time::Duration::MAX
     } else {
@@ -62,8 +73,9 @@
     let mut request = outgoing.request;
     let address = outgoing.address;
     while let Some(mut connection) = pool.take(address, within, outgoing.id).await {
+        connection.allowance.set(MAX_BYTES_BEFORE_ANSWER);
         match connection.sender.try_send_request(request).await {
-            Ok(answer) => return collect(connection, answer).await,
+            Ok(answer) => return collect(connection, bodies, answer).await,
             Err(mut error) => match error.take_message() {
                 // The connection had ended before anything was written.
                 Some(unsent) => request = unsent,
@@ -75,8 +87,9 @@
         Ok(connection) => connection,
         Err(reason) => return Exchange::NotSent(reason),
     };
+    connection.allowance.set(MAX_BYTES_BEFORE_ANSWER);
     match connection.sender.try_send_request(request).await {
-        Ok(answer) => collect(connection, answer).await,
+        Ok(answer) => collect(connection, bodies, answer).await,
         Err(mut error) => match error.take_message() {
             Some(_) => Exchange::NotSent(error.into_error().to_string()),
             None => Exchange::Lost(error.into_error().to_string()),
@@ -84,11 +97,16 @@
     }
 }
 
-async fn collect(mut connection: pool::Connection, answer: Response<body::Incoming>) -> Exchange {
-    let (parts, body) = answer.into_parts();
-    let body = match read(body).await {
+async fn collect(
+    mut connection: pool::Connection,
+    bodies: &sync::Arc<body::Budget>,
+    answer: Response<Incoming>,
+) -> Exchange {
+    connection.allowance.set(MAX_BYTES_OF_ANSWER);
+    let (parts, mut incoming) = answer.into_parts();
+    let body = match body::read(&mut incoming, bodies, || MAX_BODY_BYTES).await {
         Ok(body) => body,
-        Err(reason) => return Exchange::Lost(reason),
+        Err(error) => return Exchange::Lost(format!("the answer {error}")),
     };
     connection.idle_time = keep_alive(&parts.headers);
     let kept = !closes(&parts.headers);
@@ -99,22 +117,6 @@
     }))
 }
 
-/// Reads a body. It is copied, because frames of few bytes take many times their size.
-async fn read(mut body: body::Incoming) -> Result<Bytes, String> {
-    let mut bytes = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| format!("the answer broke off: {error}"))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if bytes.len() + data.len() > MAX_BODY_BYTES {
-            return Err(format!("the answer exceeds {MAX_BODY_BYTES} bytes"));
-        }
-        bytes.extend_from_slice(&data);
-    }
-    Ok(bytes.freeze())
-}
-
 fn closes(headers: &HeaderMap) -> bool {
     let value = headers.get(header::CONNECTION);
     value.is_some_and(|value| value.as_bytes().eq_ignore_ascii_case(b"close"))
--- a/crates/yucca-fleet/src/entry/pool.rs
+++ b/crates/yucca-fleet/src/entry/pool.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Instant;
 
+use crate::entry::metered;
 use crate::mutex::lock;
 
 /// Maximum time to open a connection. The round trip to the farthest domain takes 2 ms.
@@ -30,6 +31,9 @@
 /// Maximum time that a connection that was just given back needs to become usable.
 const READY_TIMEOUT: time::Duration = time::Duration::from_millis(2);
 
+/// Maximum size of the head of an answer, in bytes. A faulty target may write without end.
+pub const MAX_HEAD_BYTES: usize = 64 << 10;
+
 /// Maximum number of refusals on one connection, after which it is closed.
 const MAX_REFUSALS: usize = 4;
 
@@ -38,6 +42,8 @@
     address: net::SocketAddr,
     /// Sender of requests.
     pub sender: http1::SendRequest<Full<Bytes>>,
+    /// Number of bytes that the target may still send.
+    pub allowance: metered::Allowance,
     /// Time for which the target keeps it open while it is idle, if its last answer said so.
     pub idle_time: Option<time::Duration>,
     /// Ids of requests that were refused on it. They are not sent on it again: a faulty target may
@@ -112,7 +118,11 @@
         stream
             .set_nodelay(true)
             .map_err(|error| error.to_string())?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream))
+        let allowance = metered::Allowance::default();
+        let stream = metered::Metered::new(stream, allowance.clone());
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(MAX_HEAD_BYTES)
+            .handshake(TokioIo::new(stream))
             .await
             .map_err(|error| error.to_string())?;
         tokio::spawn(async move {
@@ -123,6 +133,7 @@
         Ok(Connection {
             address,
             sender,
+            allowance,
             idle_time: None,
             refused: Vec::new(),
         })
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -4,16 +4,17 @@
 use std::sync::atomic;
 use std::time;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::future;
 use http::{HeaderMap, Request, Response, header, request, response};
-use http_body_util::{BodyExt, Full};
-use hyper::body;
+use http_body_util::Full;
+use hyper::body::Incoming;
 use rand::Rng;
 use tokio::sync::watch;
 use yucca_lane::shared::{limit, quarantine, service};
 use yucca_own::site::{item, range, target as site};
 
+use crate::body;
 use crate::dialect::{caller, target};
 use crate::entry::{Core, exchange, history, pool, quarantine as entry_quarantine, view};
 use crate::mutex::lock;
@@ -40,6 +41,10 @@
 /// Maximum size of a request body, before limits are configured.
 const DEFAULT_BODY_BYTES: usize = 1 << 20;
 
+/// Time after which the caller of a request whose body found no room should retry. Large bodies are
+/// held for about as long as their requests run.
+const NO_ROOM_RETRY_AFTER: time::Duration = time::Duration::from_millis(250);
+
 /// If a request has no route and this host does not have the newest configuration yet, the caller
 /// should retry after its timeout divided by this. A deployment whose hosts all start at the same
 /// time takes a second or two until it serves requests.
@@ -64,7 +69,7 @@
 impl server::Handler for Handler {
     fn handle(
         self: sync::Arc<Self>,
-        request: Request<body::Incoming>,
+        request: Request<Incoming>,
     ) -> future::BoxFuture<'static, Response<Full<Bytes>>> {
         Box::pin(async move {
             let mut answer = self.0.answer(request).await;
@@ -134,7 +139,7 @@
 }
 
 impl Core {
-    async fn answer(self: &sync::Arc<Self>, request: Request<body::Incoming>) -> Response<Bytes> {
+    async fn answer(self: &sync::Arc<Self>, request: Request<Incoming>) -> Response<Bytes> {
         let arrived = self.clock.now();
         let (parts, body) = request.into_parts();
         let head = match self.caller.head(&parts) {
@@ -158,7 +163,7 @@
             let refusal = caller::Refusal::NotRun(time::Duration::ZERO);
             return self.caller.refuse(Some(&head.id), refusal);
         }
-        let body = match self.read_body(&head.id, body).await {
+        let body = match self.read_body(&head.id, body, timeout).await {
             Ok(body) => body,
             Err(refusal) => return self.caller.refuse(Some(&head.id), refusal),
         };
@@ -184,32 +189,40 @@
         answer
     }
 
-    /// Reads the body of a request. It may be as large as the limit at its start or any later one
-    /// allows.
+    /// Reads the body of a request, which has to arrive before its timeout. It may be as large as the
+    /// limit at its start or any later one allows.
     async fn read_body(
         &self,
         id: &Bytes,
-        mut body: body::Incoming,
+        mut incoming: Incoming,
+        timeout: time::Duration,
     ) -> Result<Bytes, caller::Refusal> {
-        let mut limit = self.body_limit();
-        // Frames are copied, because those of few bytes take many times their size.
-        let mut bytes = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|error| {
-                log::info!("request={id:?} body refused: {error}");
-                caller::Refusal::Malformed
-            })?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            limit = limit.max(self.body_limit());
-            if bytes.len() + data.len() > limit {
-                log::info!("request={id:?} body refused: it exceeds {limit} bytes");
-                return Err(caller::Refusal::TooLarge);
+        let mut limit = 0;
+        let latest_limit = || {
+            limit = self.body_limit().max(limit);
+            limit
+        };
+        let read = async {
+            let read = body::read(&mut incoming, &self.bodies, latest_limit).await;
+            if read == Err(body::Error::NoRoom) {
+                body::discard(&mut incoming).await;
             }
-            bytes.extend_from_slice(&data);
-        }
-        Ok(bytes.freeze())
+            read
+        };
+        let error = match tokio::time::timeout(timeout, read).await {
+            Ok(Ok(body)) => return Ok(body),
+            Ok(Err(error)) => error,
+            Err(_) => body::Error::Broken("not complete in time".to_owned()),
+        };
+        log::info!("request={id:?} body refused: it {error}");
+        Err(match error {
+            body::Error::Broken(_) => caller::Refusal::Malformed,
+            body::Error::TooLarge(_) => caller::Refusal::TooLarge,
+            body::Error::NoRoom => {
+                metrics::counter!("yucca_entry_bodies_without_room_total").increment(1);
+                caller::Refusal::NotRun(NO_ROOM_RETRY_AFTER)
+            }
+        })
     }
 
     /// Returns the maximum size of a body, in bytes.
@@ -421,7 +434,8 @@
             request: self.outgoing(job, &target, left),
             idempotent: job.route.route.idempotent,
         };
-        let exchanged = tokio::time::timeout(left, exchange::run(&self.pool, outgoing)).await;
+        let exchanged =
+            tokio::time::timeout(left, exchange::run(&self.pool, &self.bodies, outgoing)).await;
         match exchanged {
             Err(_) => {
                 history.record(&target.name, "no answer in time");
--- a/crates/yucca-fleet/src/lib.rs
+++ b/crates/yucca-fleet/src/lib.rs
@@ -4,6 +4,7 @@
 //! Hosts are named by their IP address and find each other from a few seeds. The protocols of
 //! callers, targets and operators are behind the traits of [`dialect`].
 
+pub mod body;
 pub mod clock;
 pub mod contact;
 pub mod control;
--- a/crates/yucca-fleet/src/settings.rs
+++ b/crates/yucca-fleet/src/settings.rs
@@ -27,6 +27,8 @@
         pub timing: Timing,
         /// Retry budget of all hosts together.
         pub retries: Retries,
+        /// Memory that the process may use. Bodies of requests and answers take half of it at most.
+        pub memory: unit::Size = "256MiB",
     }
 }
 
