Accept any stated time without an overflow

Cause: times that strangers state were added to the present, which overflows and panics in the task of the caller's connection.

--- a/crates/yucca-fleet/src/entry/exchange.rs
+++ b/crates/yucca-fleet/src/entry/exchange.rs
@@ -25,6 +25,9 @@
 const MAX_BYTES_BEFORE_ANSWER: usize = 4 * pool::MAX_HEAD_BYTES;
 const MAX_BYTES_OF_ANSWER: usize = 4 * MAX_BODY_BYTES;
 
+/// Maximum idle time that is believed. Targets without a limit may state any number of seconds.
+const MAX_IDLE_TIME: time::Duration = time::Duration::from_secs(60 * 60);
+
 /// A complete answer.
 pub struct Answer {
     /// Its head.
@@ -127,5 +130,6 @@
     let text = headers.get("keep-alive")?.to_str().ok()?;
     let mut parts = text.split(',').map(str::trim);
     let seconds = parts.find_map(|part| part.strip_prefix("timeout="))?;
-    seconds.trim().parse().ok().map(time::Duration::from_secs)
+    let seconds = seconds.trim().parse().ok().map(time::Duration::from_secs);
+    seconds.map(|idle| idle.min(MAX_IDLE_TIME))
 }
