Try a refused request after three minutes

A trial costs a target if the request is still deadly, so it comes after three minutes. What clears a healthy request sooner is that only crashes in a row count, and any answer.

--- a/crates/yucca-lane/src/shared/quarantine.rs
+++ b/crates/yucca-lane/src/shared/quarantine.rs
@@ -34,8 +34,8 @@
 
 /// Time after the last crash, and after each trial, until the leader lets a host send a refused request
 /// once. Each trial without an answer doubles it. If the request does crash targets, it crashes one
-/// more.
-pub const TRIAL_DELAY: time::Duration = time::Duration::from_secs(10);
+/// more, so this must be long compared with the time that a target takes to come back.
+pub const TRIAL_DELAY: time::Duration = time::Duration::from_secs(3 * 60);
 
 /// Maximum number of requests in a table. Each needs a crash to get there.
 const MAX_RECORDS: usize = 1024;
