--- a/crates/yucca-fleet/src/body.rs
+++ b/crates/yucca-fleet/src/body.rs
@@ -134,15 +134,13 @@
     B::Error: fmt::Display,
 {
     let mut share = Share::new(budget);
-    if let Some(stated) = body.size_hint().exact() {
-        let most = limit();
-        let stated = usize::try_from(stated)
-            .ok()
-            .filter(|stated| *stated <= most);
-        let length = stated.ok_or(Error::TooLarge(most))?;
-        if !share.grow(length) {
-            return Err(Error::NoRoom);
-        }
+    let stated = body.size_hint().exact();
+    let stated = stated.and_then(|stated| usize::try_from(stated).ok());
+    // The limit may be raised before a longer body has arrived.
+    if let Some(length) = stated.filter(|stated| *stated <= limit())
+        && !share.grow(length)
+    {
+        return Err(Error::NoRoom);
     }
     // Parts are copied, because those of few bytes take many times their size.
     let mut bytes = BytesMut::new();
