Refuse a request with a slow body as not run

A request whose body did not arrive before its timeout, or whose rest was still being dropped then, got 400 since bodies have a time limit. Callers don't repeat such a request, though it was sent to no target. It gets 503 with Retry-After now, which is true. a_request_with_a_slow_body_may_be_repeated failed before (400) and passes.

--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -212,7 +212,11 @@
         let error = match tokio::time::timeout(timeout, read).await {
             Ok(Ok(body)) => return Ok(body),
             Ok(Err(error)) => error,
-            Err(_) => body::Error::Broken("not complete in time".to_owned()),
+            // It was sent to no target, and another attempt may be faster.
+            Err(_) => {
+                log::info!("request={id:?} body not complete within {timeout:?}");
+                return Err(caller::Refusal::NotRun(time::Duration::ZERO));
+            }
         };
         log::info!("request={id:?} body refused: it {error}");
         Err(match error {
