--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-3
-for name in scaled_in limited; do
+for name in scaled_in stale_load unanswered first_start; do
     rustc --edition 2024 -O -o "target/review-3/$name" "review/standin-3/$name.rs"
 done
--- a/review/standin-3/platform.rs
+++ b/review/standin-3/platform.rs
@@ -1090,3 +1090,40 @@
     let id = std::process::id();
     (100 + (id / 200 % 100) as u8, 1 + (id % 200) as u8)
 }
+
+/// Sends requests one after the other on a kept connection until `end`. Returns how many were answered
+/// with a success.
+pub fn keep_sending(entry: SocketAddr, name: &str, end: Instant, request: &Request) -> u64 {
+    let mut served = 0;
+    let mut number = 0_u64;
+    while Instant::now() < end {
+        let Ok(stream) = TcpStream::connect_timeout(&entry, Duration::from_secs(1)) else {
+            thread::sleep(Duration::from_millis(20));
+            continue;
+        };
+        let Ok(mut writer) = stream.try_clone() else {
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let _ = stream.set_read_timeout(Some(request.deadline));
+        let mut reader = BufReader::new(stream);
+        while Instant::now() < end {
+            number += 1;
+            let head = format!(
+                "{} {} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {name}-{number}\r\nX-Deadline-Ms: {}\r\nContent-Length: 0\r\n\r\n",
+                request.method,
+                request.path,
+                request.host,
+                request.deadline.as_millis()
+            );
+            if writer.write_all(head.as_bytes()).is_err() {
+                break;
+            }
+            match read_message(&mut reader, true) {
+                Ok(Some(answer)) => served += u64::from(answer.status() == 200),
+                _ => break,
+            }
+        }
+    }
+    served
+}
