--- a/review/standin-3/first_start.rs
+++ b/review/standin-3/first_start.rs
@@ -34,17 +34,24 @@
         folder: folder.to_owned(),
         ports: platform::Ports::free()?,
         net: platform::own_net(),
-        zones: ["colombo", "ratmalana", "maradana"].map(str::to_owned).to_vec(),
+        zones: ["colombo", "ratmalana", "maradana"]
+            .map(str::to_owned)
+            .to_vec(),
         seeds: Vec::new(),
     };
     site.seeds = (1..=3).map(|last| site.ip(last)).collect();
-    let mut controls: Vec<Machine> = (0..3).map(|index| Machine::new(&site, "control", index)).collect();
-    let entries: Vec<Machine> = (0..ENTRIES).map(|index| Machine::new(&site, "entry", index)).collect();
+    let mut controls: Vec<Machine> = (0..3)
+        .map(|index| Machine::new(&site, "control", index))
+        .collect();
+    let entries: Vec<Machine> = (0..ENTRIES)
+        .map(|index| Machine::new(&site, "entry", index))
+        .collect();
     for machine in controls.iter().chain(&entries) {
         machine.start()?;
     }
     let start = Instant::now();
-    let wait_until = |at: Duration| thread::sleep((start + at).saturating_duration_since(Instant::now()));
+    let wait_until =
+        |at: Duration| thread::sleep((start + at).saturating_duration_since(Instant::now()));
     if platform::has_trouble() {
         wait_until(LOST_AT);
         controls[0].kill();
@@ -57,7 +64,10 @@
         controls[0] = successor;
         record.say("an empty core machine has started at another address");
     }
-    let addresses: Vec<_> = controls.iter().map(|m| m.address(site.ports.control)).collect();
+    let addresses: Vec<_> = controls
+        .iter()
+        .map(|m| m.address(site.ports.control))
+        .collect();
     let mut servers = Vec::new();
     for index in 0..SERVERS {
         let settings = ServerSettings {
@@ -73,7 +83,8 @@
         servers.push(Server::start(settings, record.clone())?);
     }
     let operator = record.clone();
-    let configured = thread::spawn(move || platform::configure(&addresses, CONFIG, LEAD + TRAFFIC, &operator));
+    let configured =
+        thread::spawn(move || platform::configure(&addresses, CONFIG, LEAD + TRAFFIC, &operator));
     wait_until(LEAD);
     let (mut sent, mut served) = (0, 0);
     while start.elapsed() < LEAD + TRAFFIC {
@@ -87,13 +98,23 @@
             key: None,
             deadline: Duration::from_millis(1_500),
         };
-        served += usize::from(platform::serve(entry.address(site.ports.front), &request, record));
+        served += usize::from(platform::serve(
+            entry.address(site.ports.front),
+            &request,
+            record,
+        ));
         thread::sleep(Duration::from_millis(200));
     }
     servers.iter().for_each(|server| server.stop());
     let answer = configured.join().unwrap_or(None);
-    record.say(&format!("first configuration: {answer:?}; {served} of {sent} requests served"));
-    record.say(if served == 0 { "Fault: no request is served" } else { "no fault" });
+    record.say(&format!(
+        "first configuration: {answer:?}; {served} of {sent} requests served"
+    ));
+    record.say(if served == 0 {
+        "Fault: no request is served"
+    } else {
+        "no fault"
+    });
     Ok(Some(served > 0))
 }
 
--- a/review/standin-3/platform.rs
+++ b/review/standin-3/platform.rs
@@ -32,7 +32,9 @@
 const IDLE_CLOSE: Duration = Duration::from_secs(10);
 
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
 }
 
 unsafe extern "C" {
@@ -186,7 +188,10 @@
             b'n' => Self::word(bytes, at, "null", Json::Null),
             _ => {
                 let start = *at;
-                while bytes.get(*at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+                while bytes
+                    .get(*at)
+                    .is_some_and(|b| b"+-.eE0123456789".contains(b))
+                {
                     *at += 1;
                 }
                 let text = std::str::from_utf8(&bytes[start..*at]).ok()?;
@@ -289,7 +294,9 @@
         }
     }
     let chunked = message.header("transfer-encoding").is_some();
-    let length = message.header("content-length").and_then(|l| l.parse().ok());
+    let length = message
+        .header("content-length")
+        .and_then(|l| l.parse().ok());
     if chunked {
         loop {
             line.clear();
@@ -312,12 +319,7 @@
 }
 
 /// Sends one request on a new connection and reads its answer, all within `timeout`.
-pub fn call(
-    address: SocketAddr,
-    head: &str,
-    body: &str,
-    timeout: Duration,
-) -> io::Result<Message> {
+pub fn call(address: SocketAddr, head: &str, body: &str, timeout: Duration) -> io::Result<Message> {
     let end = Instant::now() + timeout;
     let left = || {
         let left = end.saturating_duration_since(Instant::now());
@@ -443,7 +445,13 @@
     }
 
     fn settings(&self) -> String {
-        let Ports { control, mesh, front, ready, .. } = self.site.ports;
+        let Ports {
+            control,
+            mesh,
+            front,
+            ready,
+            ..
+        } = self.site.ports;
         let ip = self.ip;
         let disk = self.site.folder.join(format!("disk-{}", self.name));
         let (class, listen, data, cpu, memory) = if self.role == "control" {
@@ -453,8 +461,18 @@
             let listen = format!(r#"{{"front":"{ip}:{front}","ready":"{ip}:{ready}"}}"#);
             ("front", listen, "null".to_owned(), 0.2, 260)
         };
-        let seeds: Vec<String> = self.site.seeds.iter().map(|s| format!("\"{s}:{control}\"")).collect();
-        let zones: Vec<String> = self.site.zones.iter().map(|z| format!("\"{z}\":\"western\"")).collect();
+        let seeds: Vec<String> = self
+            .site
+            .seeds
+            .iter()
+            .map(|s| format!("\"{s}:{control}\""))
+            .collect();
+        let zones: Vec<String> = self
+            .site
+            .zones
+            .iter()
+            .map(|z| format!("\"{z}\":\"western\""))
+            .collect();
         format!(
             r#"{{"node-name":"{name}","role":"{role}","machine-class":"{class}","serves":["{serves}"],
 "ip":"{ip}","zone":"{zone}","region":"western","zones":{{{zones}}},"listen":{listen},
@@ -467,7 +485,11 @@
 "config-mode":"parts","grants":"heartbeat"}}"#,
             name = self.name,
             role = self.role,
-            serves = if self.role == "control" { "control_plane" } else { "front" },
+            serves = if self.role == "control" {
+                "control_plane"
+            } else {
+                "front"
+            },
             zone = self.zone,
             zones = zones.join(","),
             seeds = seeds.join(","),
@@ -478,7 +500,10 @@
 
     /// Starts the process with the command of the deploy file.
     pub fn start(&self) -> io::Result<()> {
-        let file = self.site.folder.join(format!("settings-{}.json", self.name));
+        let file = self
+            .site
+            .folder
+            .join(format!("settings-{}.json", self.name));
         fs::write(&file, self.settings())?;
         let log = self.site.folder.join(format!("log-{}.txt", self.name));
         let log = fs::File::options().append(true).create(true).open(log)?;
@@ -514,7 +539,9 @@
     /// Returns whether the process runs.
     pub fn is_running(&self) -> bool {
         let mut child = lock(&self.child);
-        child.as_mut().is_some_and(|child| matches!(child.try_wait(), Ok(None)))
+        child
+            .as_mut()
+            .is_some_and(|child| matches!(child.try_wait(), Ok(None)))
     }
 
     pub fn kill(&self) {
@@ -599,7 +626,9 @@
     pub fn start(settings: ServerSettings, record: Arc<Record>) -> io::Result<Arc<Self>> {
         let listener = TcpListener::bind((settings.ip, 0))?;
         listener.set_nonblocking(true)?;
-        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+        let since = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
         let keys = if settings.keyed { 1 << 16 } else { 0 };
         let state = ServerState {
             held: vec![0; keys],
@@ -652,7 +681,8 @@
         }
         let acknowledged = self.drain_acknowledged.load(Ordering::Relaxed);
         let id = &self.settings.id;
-        self.record.line(&format!("{id} drains, acknowledged: {acknowledged}"));
+        self.record
+            .line(&format!("{id} drains, acknowledged: {acknowledged}"));
         thread::sleep(serve);
         let path = format!("/yuccahill/Instances.Deregister/{id}");
         let body = format!(r#"{{"born":{}}}"#, self.born);
@@ -726,10 +756,15 @@
             )
             .into_bytes()
         };
-        if request.header("x-expected-instance").is_some_and(|name| name != own) {
+        if request
+            .header("x-expected-instance")
+            .is_some_and(|name| name != own)
+        {
             return plain("421 Misdirected Request", "");
         }
-        let key = request.header("x-shard-key").and_then(|key| key.parse::<u16>().ok());
+        let key = request
+            .header("x-shard-key")
+            .and_then(|key| key.parse::<u16>().ok());
         let token = if self.settings.keyed {
             let Some(key) = key else {
                 return plain("400 Bad Request", "X-Not-Executed: 1\r\n");
@@ -796,7 +831,8 @@
         while !self.is_stopped() {
             let (body, releasing, draining) = self.heartbeat();
             let sent = Instant::now();
-            let control = given.unwrap_or(self.settings.controls[next % self.settings.controls.len()]);
+            let control =
+                given.unwrap_or(self.settings.controls[next % self.settings.controls.len()]);
             let path = format!("/yuccahill/Instances.Heartbeat/{}", self.settings.id);
             let answer = control_call(control, "POST", &path, &body, ACK_TIMEOUT);
             match answer {
@@ -818,7 +854,11 @@
                 }
             }
             let open = !lock(&self.state).releasing.is_empty() || releasing;
-            let pause = if open { Duration::from_millis(80) } else { HEARTBEAT_INTERVAL };
+            let pause = if open {
+                Duration::from_millis(80)
+            } else {
+                HEARTBEAT_INTERVAL
+            };
             let end = sent + pause;
             while Instant::now() < end && !self.is_stopped() {
                 if !draining && lock(&self.state).draining {
@@ -840,7 +880,8 @@
                 "{id} answer to heartbeat has {size} bytes, {rows} rows: not acknowledged"
             ));
         } else {
-            self.record.line(&format!("{id} heartbeat answered {status}"));
+            self.record
+                .line(&format!("{id} heartbeat answered {status}"));
         }
     }
 
@@ -881,7 +922,8 @@
     fn apply(&self, body: &[u8], sent: Instant) -> Option<SocketAddr> {
         let text = String::from_utf8_lossy(body);
         let Some(answer) = Json::parse(&text) else {
-            self.record.line(&format!("{} unreadable answer", self.settings.id));
+            self.record
+                .line(&format!("{} unreadable answer", self.settings.id));
             return None;
         };
         let next = answer.get("heartbeat-url").and_then(Json::text);
@@ -956,9 +998,11 @@
             self.releasing.remove(key);
         }
         for (from, to) in runs {
-            let mark = id.bytes().fold(u64::from(from) << 16 | u64::from(to), |mark, byte| {
-                (mark ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
-            });
+            let mark = id
+                .bytes()
+                .fold(u64::from(from) << 16 | u64::from(to), |mark, byte| {
+                    (mark ^ u64::from(byte)).wrapping_mul(0x0000_0100_0000_01b3)
+                });
             self.released.push((from, to, format!("{mark:016x}")));
         }
     }
@@ -1035,7 +1079,9 @@
             return false;
         }
         let id = format!("{}-{attempt}", request.id);
-        let key = request.key.map_or(String::new(), |key| format!("X-Shard-Key: {key}\r\n"));
+        let key = request
+            .key
+            .map_or(String::new(), |key| format!("X-Shard-Key: {key}\r\n"));
         let head = format!(
             "{} {} HTTP/1.1\r\nHost: {}\r\nX-Request-Id: {id}\r\nX-Deadline-Ms: {}\r\n{key}",
             request.method,
@@ -1059,7 +1105,9 @@
             return false;
         }
         let left = end.saturating_duration_since(Instant::now());
-        let after = answer.header("retry-after").and_then(|after| after.parse::<f64>().ok());
+        let after = answer
+            .header("retry-after")
+            .and_then(|after| after.parse::<f64>().ok());
         let after = Duration::from_secs_f64(after.unwrap_or(0.0).max(0.0));
         thread::sleep(after.min(left / 3));
     }
@@ -1093,7 +1141,13 @@
 
 /// Sends requests one after the other on a kept connection until `end`. Returns how many were answered
 /// with a success.
-pub fn keep_sending(entry: SocketAddr, name: &str, end: Instant, request: &Request) -> u64 {
+pub fn keep_sending(
+    entry: SocketAddr,
+    name: &str,
+    end: Instant,
+    request: &Request,
+    record: &Record,
+) -> u64 {
     let mut served = 0;
     let mut number = 0_u64;
     while Instant::now() < end {
@@ -1116,12 +1170,19 @@
                 request.host,
                 request.deadline.as_millis()
             );
+            record.line(&format!("send {name}-{number} to {entry}"));
             if writer.write_all(head.as_bytes()).is_err() {
                 break;
             }
             match read_message(&mut reader, true) {
-                Ok(Some(answer)) => served += u64::from(answer.status() == 200),
-                _ => break,
+                Ok(Some(answer)) => {
+                    record.line(&format!("end {name}-{number} status={}", answer.status()));
+                    served += u64::from(answer.status() == 200);
+                }
+                _ => {
+                    record.line(&format!("end {name}-{number} without an answer"));
+                    break;
+                }
             }
         }
     }
--- a/review/standin-3/scaled_in.rs
+++ b/review/standin-3/scaled_in.rs
@@ -46,7 +46,10 @@
 
 impl Count {
     fn text(&self) -> String {
-        let (served, sent) = (self.served.load(Ordering::Relaxed), self.sent.load(Ordering::Relaxed));
+        let (served, sent) = (
+            self.served.load(Ordering::Relaxed),
+            self.sent.load(Ordering::Relaxed),
+        );
         format!("{served} of {sent}")
     }
 
@@ -57,7 +60,12 @@
 }
 
 /// Sends requests on both routes to every entry process for a time.
-fn measure(entries: &[Machine], record: &Arc<Record>, name: &str, time: Duration) -> (Count, Count) {
+fn measure(
+    entries: &[Machine],
+    record: &Arc<Record>,
+    name: &str,
+    time: Duration,
+) -> (Count, Count) {
     let counts = (Count::default(), Count::default());
     let end = Instant::now() + time;
     thread::scope(|scope| {
@@ -72,12 +80,20 @@
                         let request = Request {
                             id: format!("{name}-{index}-{keyed}-{number}"),
                             method: "GET",
-                            host: if keyed { "later.example" } else { "first.example" },
+                            host: if keyed {
+                                "later.example"
+                            } else {
+                                "first.example"
+                            },
                             path: format!("/{}/{number}", if keyed { "later" } else { "first" }),
                             key: keyed.then_some(key as u16),
                             deadline: Duration::from_millis(1_500),
                         };
-                        let served = platform::serve(entry.address(entry.site.ports.front), &request, record);
+                        let served = platform::serve(
+                            entry.address(entry.site.ports.front),
+                            &request,
+                            record,
+                        );
                         count.sent.fetch_add(1, Ordering::Relaxed);
                         count.served.fetch_add(u64::from(served), Ordering::Relaxed);
                         thread::sleep(PAUSE);
@@ -94,7 +110,13 @@
     counts
 }
 
-fn server(site: &Site, record: &Arc<Record>, service: &str, zone: usize, number: usize) -> std::io::Result<Arc<Server>> {
+fn server(
+    site: &Site,
+    record: &Arc<Record>,
+    service: &str,
+    zone: usize,
+    number: usize,
+) -> std::io::Result<Arc<Server>> {
     let mut seeds = site.seeds.clone();
     seeds.rotate_left(zone);
     let ports = site.ports;
@@ -119,12 +141,18 @@
         folder: folder.to_owned(),
         ports: platform::Ports::free()?,
         net: platform::own_net(),
-        zones: ["colombo", "ratmalana", "maradana"].map(str::to_owned).to_vec(),
+        zones: ["colombo", "ratmalana", "maradana"]
+            .map(str::to_owned)
+            .to_vec(),
         seeds: Vec::new(),
     };
     site.seeds = (1..=3).map(|last| site.ip(last)).collect();
-    let controls: Vec<Machine> = (0..3).map(|index| Machine::new(&site, "control", index)).collect();
-    let entries: Vec<Machine> = (0..ENTRIES).map(|index| Machine::new(&site, "entry", index)).collect();
+    let controls: Vec<Machine> = (0..3)
+        .map(|index| Machine::new(&site, "control", index))
+        .collect();
+    let entries: Vec<Machine> = (0..ENTRIES)
+        .map(|index| Machine::new(&site, "entry", index))
+        .collect();
     for machine in controls.iter().chain(&entries) {
         machine.start()?;
     }
@@ -138,14 +166,22 @@
     for index in 0..PLAIN {
         plain.push(server(&site, record, "plain", index, 50 + index)?);
     }
-    let addresses: Vec<_> = controls.iter().map(|m| m.address(site.ports.control)).collect();
+    let addresses: Vec<_> = controls
+        .iter()
+        .map(|m| m.address(site.ports.control))
+        .collect();
     for text in [FIRST, LATER] {
         if platform::configure(&addresses, text, Duration::from_secs(8), record) != Some(200) {
             record.say("the configuration was not acknowledged");
             return Ok(None);
         }
     }
-    let held = || desk.iter().filter(|s| !s.is_stopped()).map(|s| s.key_count()).sum::<usize>();
+    let held = || {
+        desk.iter()
+            .filter(|s| !s.is_stopped())
+            .map(|s| s.key_count())
+            .sum::<usize>()
+    };
     let end = Instant::now() + Duration::from_secs(15);
     while (held() < 65_536 || !entries.iter().all(Machine::is_ready)) && Instant::now() < end {
         thread::sleep(Duration::from_millis(200));
@@ -169,7 +205,10 @@
                 let _ = thread.join();
             }
             let up = desk.iter().filter(|s| !s.is_stopped()).count();
-            record.say(&format!("{up} servers are left, they hold {} of 65536 keys", held()));
+            record.say(&format!(
+                "{up} servers are left, they hold {} of 65536 keys",
+                held()
+            ));
             thread::sleep(Duration::from_millis(1_500));
         }
     }
--- a/review/standin-3/stale_load.rs
+++ b/review/standin-3/stale_load.rs
@@ -44,7 +44,11 @@
         path: format!("/{}/{id}", if later { "later" } else { "first" }),
         id,
         method: "GET",
-        host: if later { "later.example" } else { "first.example" },
+        host: if later {
+            "later.example"
+        } else {
+            "first.example"
+        },
         key: None,
         deadline: Duration::from_millis(3_000),
     }
@@ -53,7 +57,10 @@
 /// Sends requests on both routes in turn for a time. Returns the share that was served on each.
 fn measure(entry: &Machine, record: &Arc<Record>, name: &str, time: Duration) -> [(u64, u64); 2] {
     let address = entry.address(entry.site.ports.front);
-    let counts = [(AtomicU64::new(0), AtomicU64::new(0)), (AtomicU64::new(0), AtomicU64::new(0))];
+    let counts = [
+        (AtomicU64::new(0), AtomicU64::new(0)),
+        (AtomicU64::new(0), AtomicU64::new(0)),
+    ];
     let end = Instant::now() + time;
     thread::scope(|scope| {
         for (later, count) in [false, true].into_iter().zip(&counts) {
@@ -91,19 +98,28 @@
         folder: folder.to_owned(),
         ports: platform::Ports::free()?,
         net: platform::own_net(),
-        zones: ["colombo", "ratmalana", "maradana"].map(str::to_owned).to_vec(),
+        zones: ["colombo", "ratmalana", "maradana"]
+            .map(str::to_owned)
+            .to_vec(),
         seeds: Vec::new(),
     };
     site.seeds = (1..=3).map(|last| site.ip(last)).collect();
-    let controls: Vec<Machine> = (0..3).map(|index| Machine::new(&site, "control", index)).collect();
-    let mut entries: Vec<Machine> = (0..ENTRIES).map(|index| Machine::new(&site, "entry", index)).collect();
+    let controls: Vec<Machine> = (0..3)
+        .map(|index| Machine::new(&site, "control", index))
+        .collect();
+    let mut entries: Vec<Machine> = (0..ENTRIES)
+        .map(|index| Machine::new(&site, "entry", index))
+        .collect();
     for entry in &mut entries {
         entry.zone = site.zone(0).to_owned();
     }
     for machine in controls.iter().chain(&entries) {
         machine.start()?;
     }
-    let addresses: Vec<_> = controls.iter().map(|m| m.address(site.ports.control)).collect();
+    let addresses: Vec<_> = controls
+        .iter()
+        .map(|m| m.address(site.ports.control))
+        .collect();
     let mut servers = Vec::new();
     for index in 0..VAULT_SERVERS + PLAIN_SERVERS {
         let vault = index < VAULT_SERVERS;
@@ -115,7 +131,11 @@
             zone: site.zone(0).to_owned(),
             ip: site.ip(100 + index as u8),
             controls: addresses.clone(),
-            work: if vault { VAULT_WORK } else { Duration::from_millis(30) },
+            work: if vault {
+                VAULT_WORK
+            } else {
+                Duration::from_millis(30)
+            },
             limit: None,
         };
         servers.push(Server::start(settings, record.clone())?);
@@ -142,7 +162,8 @@
         for client in 0..BUSY_CLIENTS {
             scope.spawn(move || {
                 let address = lost.address(lost.site.ports.front);
-                platform::keep_sending(address, &format!("busy-{client}"), end, &request("b".to_owned(), true))
+                let request = request("busy".to_owned(), true);
+                platform::keep_sending(address, &format!("busy-{client}"), end, &request, record)
             });
         }
         thread::sleep(BUSY - Duration::from_millis(500));
--- a/review/standin-3/unanswered.rs
+++ b/review/standin-3/unanswered.rs
@@ -75,7 +75,14 @@
     });
 }
 
-fn server(site: &Site, record: &Arc<Record>, service: &str, zone: usize, number: usize, work: Duration) -> std::io::Result<Arc<Server>> {
+fn server(
+    site: &Site,
+    record: &Arc<Record>,
+    service: &str,
+    zone: usize,
+    number: usize,
+    work: Duration,
+) -> std::io::Result<Arc<Server>> {
     let mut seeds = site.seeds.clone();
     seeds.rotate_left(zone);
     let settings = ServerSettings {
@@ -84,7 +91,10 @@
         keyed: false,
         zone: site.zone(zone).to_owned(),
         ip: site.ip(100 + number as u8),
-        controls: seeds.iter().map(|ip| (*ip, site.ports.control).into()).collect(),
+        controls: seeds
+            .iter()
+            .map(|ip| (*ip, site.ports.control).into())
+            .collect(),
         work,
         limit: None,
     };
@@ -98,24 +108,47 @@
         folder: folder.to_owned(),
         ports: platform::Ports::free()?,
         net: platform::own_net(),
-        zones: ["colombo", "ratmalana", "maradana"].map(str::to_owned).to_vec(),
+        zones: ["colombo", "ratmalana", "maradana"]
+            .map(str::to_owned)
+            .to_vec(),
         seeds: Vec::new(),
     };
     site.seeds = (1..=3).map(|last| site.ip(last)).collect();
-    let controls: Vec<Machine> = (0..3).map(|index| Machine::new(&site, "control", index)).collect();
-    let entries: Vec<Machine> = (0..ENTRIES).map(|index| Machine::new(&site, "entry", index)).collect();
+    let controls: Vec<Machine> = (0..3)
+        .map(|index| Machine::new(&site, "control", index))
+        .collect();
+    let entries: Vec<Machine> = (0..ENTRIES)
+        .map(|index| Machine::new(&site, "entry", index))
+        .collect();
     for machine in controls.iter().chain(&entries) {
         machine.start()?;
     }
     let mut servers = Vec::new();
     for index in 0..BUSY_SERVERS {
-        servers.push(server(&site, record, "vault", index, 50 + index, BUSY_WORK)?);
+        servers.push(server(
+            &site,
+            record,
+            "vault",
+            index,
+            50 + index,
+            BUSY_WORK,
+        )?);
     }
     let mut office = Vec::new();
     for index in 0..OFFICE_SERVERS {
-        office.push(server(&site, record, "office", index, index, Duration::from_millis(100))?);
+        office.push(server(
+            &site,
+            record,
+            "office",
+            index,
+            index,
+            Duration::from_millis(100),
+        )?);
     }
-    let addresses: Vec<_> = controls.iter().map(|m| m.address(site.ports.control)).collect();
+    let addresses: Vec<_> = controls
+        .iter()
+        .map(|m| m.address(site.ports.control))
+        .collect();
     if platform::configure(&addresses, CONFIG, Duration::from_secs(8), record) != Some(200) {
         record.say("the configuration was not acknowledged");
         return Ok(None);
@@ -148,7 +181,7 @@
     thread::scope(|scope| {
         for (index, entry) in entries.iter().enumerate() {
             for client in 0..BUSY_CLIENTS {
-                let served = &served;
+                let (served, record) = (&served, record);
                 scope.spawn(move || {
                     let request = Request {
                         id: String::new(),
@@ -160,7 +193,7 @@
                     };
                     let address = entry.address(entry.site.ports.front);
                     let name = format!("search-{index}-{client}");
-                    let count = platform::keep_sending(address, &name, end, &request);
+                    let count = platform::keep_sending(address, &name, end, &request, record);
                     served.fetch_add(count, Ordering::Relaxed);
                 });
             }
@@ -170,9 +203,17 @@
     });
     let searches = served.load(Ordering::Relaxed) as f64 / MEASURED.as_secs_f64();
     let ends = platform::lock(&ends);
-    let beyond = ends.iter().filter(|end| end.0.is_none_or(|took| took > TIMEOUT)).count();
-    let unanswered = ends.iter().filter(|end| end.0.is_none_or(|took| took > LATEST)).count();
-    record.say(&format!("the busy service answered {searches:.0} requests a second in all"));
+    let beyond = ends
+        .iter()
+        .filter(|end| end.0.is_none_or(|took| took > TIMEOUT))
+        .count();
+    let unanswered = ends
+        .iter()
+        .filter(|end| end.0.is_none_or(|took| took > LATEST))
+        .count();
+    record.say(&format!(
+        "the busy service answered {searches:.0} requests a second in all"
+    ));
     record.say(&format!(
         "{} requests, {beyond} without an answer after {TIMEOUT} s, {unanswered} of them without one after {LATEST} s",
         ends.len()
@@ -181,7 +222,11 @@
         server.stop();
     }
     let broken = unanswered >= MOST && unanswered as f64 > SHARE * beyond as f64;
-    record.say(if broken { "CONFIG broken" } else { "CONFIG held" });
+    record.say(if broken {
+        "CONFIG broken"
+    } else {
+        "CONFIG held"
+    });
     Ok(Some(!broken))
 }
 
