--- a/review/standin-3/first_start.rs
+++ b/review/standin-3/first_start.rs
@@ -1,4 +1,4 @@
-//! Case 14: at the first start of a deployment one of its three core machines is lost for good, and an
+//! Case 15: at the first start of a deployment one of its three core machines is lost for good, and an
 //! empty one comes in its place at another address. The other two must get the deployment to serve.
 
 mod platform;
--- a/review/standin-3/stale_load.rs
+++ b/review/standin-3/stale_load.rs
@@ -1,4 +1,4 @@
-//! Case 12: an entry process is killed while its requests fill all servers of a service. The others of its
+//! Case 13: an entry process is killed while its requests fill all servers of a service. The others of its
 //! zone must go on sending requests to these servers, which are idle from then on.
 
 mod platform;
--- a/review/standin-3/unanswered.rs
+++ b/review/standin-3/unanswered.rs
@@ -1,4 +1,4 @@
-//! Case 13: all servers of one service crash for good, while another service is busy. Requests for the
+//! Case 14: all servers of one service crash for good, while another service is busy. Requests for the
 //! first one must still be answered, at the latest soon after their route's timeout.
 
 mod platform;
