--- a/review/standin-3/unanswered.rs
+++ b/review/standin-3/unanswered.rs
@@ -17,7 +17,7 @@
 /// Servers of the busy service, one in each zone, and clients of each entry process that send to it.
 const BUSY_SERVERS: usize = 3;
 const BUSY_CLIENTS: usize = 16;
-const BUSY_WORK: Duration = Duration::from_millis(13);
+const BUSY_WORK: Duration = Duration::from_millis(14);
 /// Servers of the other service, one in each zone.
 const OFFICE_SERVERS: usize = 3;
 /// Pause between requests for that service, at each entry process.
