Say in the log why a request is refused without being sent

The line of a refused request named no reason: "status=503 sent=0 waited=.. []" is the same for targets that are paused, at rest, limited or full, so hypotheses about a host that refuses everything could not be told apart.

The brackets now end with the targets that might get the request, how many of them get none for which reason, and the requests that this host and the others are taken to have there. For a key that is its owner. The line itself is as before, one a request; the count is made for refused requests only.

--- a/crates/yucca-fleet/src/entry/dispatcher.rs
+++ b/crates/yucca-fleet/src/entry/dispatcher.rs
@@ -7,7 +7,7 @@
 use indexmap::IndexMap;
 use rand::Rng;
 use tokio::sync::{Notify, oneshot};
-use yucca_lane::shared::{cell, limit, service, target, window};
+use yucca_lane::shared::{cell, limit, service, survey, target, window};
 use yucca_own::site::{balance, delta, item, range, target as site};
 use yucca_wire::{id, unit};
 
@@ -159,6 +159,20 @@
         queue.map_or(left, |queue| queue.service.retry_after(target, left))
     }
 
+    /// Returns why the targets that might get a request with this key get none.
+    pub fn survey(
+        &self,
+        name: &item::Name,
+        key: Option<u16>,
+        now: time::Duration,
+    ) -> survey::Survey {
+        let queues = lock(&self.queues);
+        let queue = queues.get(name);
+        queue.map_or_else(survey::Survey::default, |queue| {
+            queue.service.survey(key, now)
+        })
+    }
+
     /// Submits a request for a decision.
     pub fn submit(
         self: &sync::Arc<Self>,
--- a/crates/yucca-fleet/src/entry/history.rs
+++ b/crates/yucca-fleet/src/entry/history.rs
@@ -1,8 +1,9 @@
 //! Attempts of a request, for its line in the log.
 
-use std::fmt::Write;
+use std::fmt::{self, Write};
 use std::time;
 
+use yucca_lane::shared::survey;
 use yucca_own::site::{item, target as site};
 
 use crate::dialect::target;
@@ -23,11 +24,20 @@
 impl History {
     /// Records the result of an attempt.
     pub fn record(&mut self, target: &item::Name, result: &str) {
+        self.add(format_args!("{target}: {result}"));
+    }
+
+    /// Records why it is refused.
+    pub fn record_refusal(&mut self, survey: &survey::Survey) {
+        self.add(format_args!("refused: {survey}"));
+    }
+
+    fn add(&mut self, text: fmt::Arguments<'_>) {
         if !self.attempts.is_empty() {
             self.attempts.push_str("; ");
         }
         // Writing to a string does not fail.
-        let _ = write!(self.attempts, "{target}: {result}");
+        let _ = self.attempts.write_fmt(text);
     }
 
     /// Writes the log line of the request and updates the metrics.
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -305,6 +305,9 @@
             let (target, token) = match decided {
                 Some(service::Decision::Send { target, token, .. }) => (target, token),
                 Some(service::Decision::Refuse { retry_after, .. }) => {
+                    let now = self.clock.now();
+                    let survey = self.dispatcher.survey(&job.service, job.head.key, now);
+                    history.record_refusal(&survey);
                     let refusal = match last {
                         caller::Refusal::NotRun(_) => caller::Refusal::NotRun(retry_after),
                         other => other,
--- a/crates/yucca-lane/src/shared.rs
+++ b/crates/yucca-lane/src/shared.rs
@@ -8,5 +8,6 @@
 pub mod limit;
 pub mod quarantine;
 pub mod service;
+pub mod survey;
 pub mod target;
 pub mod window;
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -8,7 +8,7 @@
 use yucca_wire::{id, unit};
 
 use crate::estimate;
-use crate::shared::{cell, limit, target};
+use crate::shared::{cell, limit, survey, target};
 
 /// Maximum number of requests at a target beyond its slots. They hide the network round trip.
 const QUEUE_DEPTH: u32 = 1;
@@ -363,6 +363,19 @@
         self.targets.get(&number)
     }
 
+    /// Returns why the targets that might get a request with this key get none.
+    pub fn survey(&self, key: Option<u16>, now: time::Duration) -> survey::Survey {
+        let mut survey = survey::Survey::default();
+        if self.keyed {
+            let owner = key.and_then(|key| self.owner_of_key(key));
+            owner.iter().for_each(|owner| survey.add(owner, now));
+        } else {
+            let targets = self.targets.values();
+            targets.for_each(|target| survey.add(target, now));
+        }
+        survey
+    }
+
     /// Returns the number of waiting requests.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -647,9 +660,12 @@
 
     /// Returns the target that owns a request's key.
     fn owner_of(&self, request: &Request) -> Option<&target::Target> {
-        let (true, Some(key), Some(map)) = (self.keyed, request.key, &self.map) else {
-            return None;
-        };
+        let key = request.key.filter(|_| self.keyed)?;
+        self.owner_of_key(key)
+    }
+
+    fn owner_of_key(&self, key: u16) -> Option<&target::Target> {
+        let map = self.map.as_ref()?;
         let stripe = map.get(map.stripe_of(key))?;
         self.targets.get(&stripe.owner?)
     }
@@ -770,7 +786,7 @@
 }
 
 /// Returns whether a target may get a request, to process or to queue.
-fn has_room(target: &target::Target) -> bool {
+pub(super) fn has_room(target: &target::Target) -> bool {
     target.load() < target.facts.slots.saturating_add(QUEUE_DEPTH)
 }
 
