Dispatch waiting requests that came due beside another event

Cause: the task that dispatches waiting requests took a change in place of a timer that was due in the same turn, computed the next time anew, and left out all times that were not after now.

The next time is computed from the latest dispatch, which has considered all that was due by then, so a time that has passed stays due. A refusal is due whenever its time has passed, as measurements may move it. Besides, each request ends its wait itself at its limit, with a line and a counter, and a slot of a request whose caller left before it was sent goes to the next one at once.

Service::next_wake needs no time any more, so three callers in tests lost the argument; the simulated fleet schedules a wake that is due at once.

--- a/crates/yucca-fleet/src/clock.rs
+++ b/crates/yucca-fleet/src/clock.rs
@@ -1,5 +1,6 @@
 //! Time since the process started, by the runtime's clock.
 
+use std::future;
 use std::time;
 
 /// Clock of a process.
@@ -22,6 +23,14 @@
         self.start.elapsed()
     }
 
+    /// Waits until the time `at` since the process started, or for good if there is none.
+    pub async fn sleep_until(&self, at: Option<time::Duration>) {
+        match at {
+            Some(at) => tokio::time::sleep_until(self.instant(at)).await,
+            None => future::pending().await,
+        }
+    }
+
     /// Returns the instant at the time `at` since the process started.
     pub fn instant(&self, at: time::Duration) -> tokio::time::Instant {
         self.start + at
--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -1,7 +1,7 @@
 //! The entry process: it accepts requests of callers and sends them to targets.
 
 mod crash;
-mod dispatcher;
+pub mod dispatcher;
 mod exchange;
 mod follow;
 mod gossip;
@@ -121,18 +121,20 @@
         let metrics = metric::start(settings.addresses.metrics).await?;
         let retries = settings.retries;
         let (quarantine, news) = quarantine::Quarantine::new();
+        let clock = clock::Clock::default();
+        let budget = window::Config {
+            window: retries.window.0,
+            ratio: retries.ratio,
+            extra: retries.extra,
+        };
         let core = sync::Arc::new(Core {
-            dispatcher: sync::Arc::new(dispatcher::Dispatcher::new(window::Config {
-                window: retries.window.0,
-                ratio: retries.ratio,
-                extra: retries.extra,
-            })),
+            dispatcher: sync::Arc::new(dispatcher::Dispatcher::new(clock, budget)),
             seeds: watch::Sender::new(settings.seeds.clone()),
             bodies: body::Budget::new(settings.memory),
             settings,
             caller,
             target,
-            clock: clock::Clock::default(),
+            clock,
             view: ArcSwap::default(),
             limits: watch::Sender::new(request::connection_limits(None)),
             pool: pool::Pool::default(),
@@ -147,7 +149,8 @@
         let mut tasks = task::JoinSet::new();
         tasks.spawn(follow::run(core.clone(), hello, events, received, news));
         tasks.spawn(gossip::run(core.clone(), digests));
-        tasks.spawn(core.clone().dispatch_when_due());
+        let dispatcher = core.dispatcher.clone();
+        tasks.spawn(async move { dispatcher.run().await });
         let handler = sync::Arc::new(request::Handler(core.clone()));
         Ok(Self {
             _health: server::Running::start(health, sync::Arc::new(Health(core.clone()))),
@@ -188,25 +191,7 @@
         // The sender exists as long as this.
         let stopping = stopping.wait_for(Option::is_some).await;
         let at = stopping.ok().and_then(|at| *at);
-        sleep(&self.clock, at).await;
-    }
-
-    /// Dispatches waiting requests when the next of them is due.
-    async fn dispatch_when_due(self: sync::Arc<Self>) {
-        loop {
-            let next = self.dispatcher.next_wake(self.clock.now());
-            tokio::select! {
-                () = self.dispatcher.changed() => {}
-                () = sleep(&self.clock, next) => self.dispatcher.dispatch(self.clock.now()),
-            }
-        }
-    }
-}
-
-async fn sleep(clock: &clock::Clock, until: Option<time::Duration>) {
-    match until {
-        Some(at) => tokio::time::sleep_until(clock.instant(at)).await,
-        None => future::pending().await,
+        self.clock.sleep_until(at).await;
     }
 }
 
--- a/crates/yucca-fleet/src/entry/dispatcher.rs
+++ b/crates/yucca-fleet/src/entry/dispatcher.rs
@@ -11,10 +11,12 @@
 use yucca_own::site::{balance, delta, item, range, target as site};
 use yucca_wire::{id, unit};
 
+use crate::clock;
 use crate::mutex::lock;
 
 /// Dispatcher of requests to all services.
 pub struct Dispatcher {
+    clock: clock::Clock,
     budget: window::Config,
     queues: sync::Mutex<IndexMap<item::Name, Queue>>,
     changed: Notify,
@@ -30,8 +32,9 @@
 
 impl Dispatcher {
     /// Creates a dispatcher without services.
-    pub fn new(budget: window::Config) -> Self {
+    pub fn new(clock: clock::Clock, budget: window::Config) -> Self {
         Self {
+            clock,
             budget,
             queues: sync::Mutex::default(),
             changed: Notify::new(),
@@ -264,16 +267,23 @@
         }
     }
 
-    /// Returns the next time at which a dispatch is due without another event.
-    pub fn next_wake(&self, now: time::Duration) -> Option<time::Duration> {
-        let queues = lock(&self.queues);
-        let all = queues.values();
-        all.filter_map(|queue| queue.service.next_wake(now)).min()
+    /// Dispatches waiting requests when the next of them is due, until the process ends.
+    pub async fn run(&self) {
+        loop {
+            let next = self.next_wake();
+            tokio::select! {
+                biased;
+                () = self.clock.sleep_until(next) => self.dispatch(self.clock.now()),
+                () = self.changed.notified() => {}
+            }
+        }
     }
 
-    /// Waits until [`Dispatcher::next_wake`] may have changed.
-    pub async fn changed(&self) {
-        self.changed.notified().await;
+    /// Returns the next time at which a dispatch is due without another event, which may have passed.
+    fn next_wake(&self) -> Option<time::Duration> {
+        let queues = lock(&self.queues);
+        let all = queues.values();
+        all.filter_map(|queue| queue.service.next_wake()).min()
     }
 
     fn with_queue(
@@ -325,9 +335,15 @@
 }
 
 impl Waiter {
-    /// Waits for the decision. Returns `None` if the dispatcher dropped the request.
-    pub async fn decision(&mut self) -> Option<service::Decision> {
-        (&mut self.receiver).await.ok()
+    /// Waits for the decision until a time, so that the request ends even if the task that dispatches
+    /// waiting requests doesn't. Returns `None` if there is no decision by then.
+    pub async fn decision(&mut self, until: time::Duration) -> Option<service::Decision> {
+        let clock = self.dispatcher.clock;
+        tokio::select! {
+            biased;
+            decision = &mut self.receiver => decision.ok(),
+            () = clock.sleep_until(Some(until)) => None,
+        }
     }
 }
 
@@ -335,16 +351,17 @@
     fn drop(&mut self) {
         let undelivered = self.receiver.try_recv().ok();
         let number = self.number;
+        let now = self.dispatcher.clock.now();
         self.dispatcher.with_queue(&self.service, |queue| {
             queue.waiters.swap_remove(&number);
             queue.service.cancel(number);
             match undelivered {
                 Some(service::Decision::Send { target, .. }) => {
                     queue.service.cancel_send(target);
+                    queue.service.dispatch(now)
                 }
-                Some(service::Decision::Refuse { .. }) | None => {}
+                Some(service::Decision::Refuse { .. }) | None => Vec::new(),
             }
-            Vec::new()
         });
     }
 }
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -362,7 +362,13 @@
         let mut waiter = self
             .dispatcher
             .submit(&job.service, request, self.clock.now());
-        waiter.decision().await
+        let decision = waiter.decision(job.limit_at).await;
+        if decision.is_none() {
+            metrics::counter!("yucca_entry_undecided_requests_total").increment(1);
+            let (id, service) = (&job.head.id, &job.service);
+            log::warn!("request={id:?} service={service} no decision within its time");
+        }
+        decision
     }
 
     fn is_quarantined(&self, job: &Job) -> bool {
--- a/crates/yucca-lane/src/shared/service.rs
+++ b/crates/yucca-lane/src/shared/service.rs
@@ -180,6 +180,8 @@
     cell: cell::Cell,
     /// Targets that this host's group does not prefer.
     outside: Outside,
+    /// Time of the latest dispatch, which has considered all that was due by then.
+    dispatched_at: time::Duration,
 }
 
 /// Targets outside a host's group, of whose load it knows nothing: the time that they have recently
@@ -530,22 +532,29 @@
         self.denied.insert(stripe, denial);
     }
 
-    /// Returns the time of the next [`Service::dispatch`] that is needed without another event.
-    pub fn next_wake(&self, now: time::Duration) -> Option<time::Duration> {
-        let limits = self.waiting.values().map(|request| self.refuse_at(request));
+    /// Returns the time of the next [`Service::dispatch`] that is needed without another event. It has
+    /// passed if something has come due since the latest dispatch.
+    pub fn next_wake(&self) -> Option<time::Duration> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        let considered = self.dispatched_at;
         let denied = self.denied.values().map(|denial| denial.until);
         let targets = self.targets.values();
         let paused = targets.flat_map(|target| [target.paused_until, target.rests_until()]);
         let limited = self.targets.values().filter_map(target::Target::limit);
-        let allowed = limited.map(|limit| limit.next_at(now));
-        let waits = !self.waiting.is_empty();
-        let all = limits.chain(denied).chain(paused).chain(allowed);
-        all.filter(|at| waits && *at > now).min()
+        let allowed = limited.map(|limit| limit.next_at(considered));
+        let usable = denied.chain(paused).chain(allowed);
+        let usable = usable.filter(|at| *at > considered);
+        // Measurements since the latest dispatch may have made a refusal due at an earlier time.
+        let refused = self.waiting.values().map(|request| self.refuse_at(request));
+        usable.chain(refused).min()
     }
 
     /// Decides about the waiting requests: sends those that can be sent and refuses those that can
     /// no longer be served.
     pub fn dispatch(&mut self, now: time::Duration) -> Vec<Decision> {
+        self.dispatched_at = now;
         self.denied
             .retain(|_, denial| denial.until + DENIAL_MEMORY > now);
         let mut order: Vec<(bool, u8, time::Duration, u64)> = self
--- a/crates/yucca-lane/tests/fleet/mod.rs
+++ b/crates/yucca-lane/tests/fleet/mod.rs
@@ -377,9 +377,10 @@
     }
 
     fn schedule(&mut self, host: usize) {
-        let Some(at) = self.hosts[host].service.next_wake(self.now) else {
+        let Some(at) = self.hosts[host].service.next_wake() else {
             return;
         };
+        let at = at.max(self.now);
         if self.hosts[host].wake_at.is_none_or(|known| at < known) {
             self.hosts[host].wake_at = Some(at);
             self.push(at - self.now, Event::Wake { host });
--- a/crates/yucca-lane/tests/shared_targets.rs
+++ b/crates/yucca-lane/tests/shared_targets.rs
@@ -199,7 +199,7 @@
     let mut service = service::Service::default();
     service.set_targets(&[]);
     assert!(service.arrive(request(0), ms(0)).is_empty());
-    let wake = service.next_wake(ms(0));
+    let wake = service.next_wake();
     assert_eq!(wake, Some(ms(400)), "from then on it cannot be in time");
     let decisions = service.dispatch(ms(400));
     assert!(matches!(
--- a/crates/yucca-lane/tests/stated_rest.rs
+++ b/crates/yucca-lane/tests/stated_rest.rs
@@ -86,7 +86,7 @@
     let decisions = service.arrive(request(0, ms(2_000), ms(8_000)), ms(2_000));
     assert!(decisions.is_empty());
     let mut now = ms(2_000);
-    while let Some(next) = service.next_wake(now) {
+    while let Some(next) = service.next_wake() {
         now = next;
         let decisions = service.dispatch(now);
         if !decisions.is_empty() {
