Let the load of a lost host expire with time

Cause: expired load digests were removed only after another digest had arrived, and a host without requests sends none. Averages of the load were updated at the same place only.

The digests are a table of their own, which says when they take effect: after a new one, when one expires, and at least every 200 ms, so that averages follow the load too. Processes number their digests from a random start, so the first ones of a host that has restarted are not taken for old ones; the message is the same, and hosts of an older version accept such numbers as they do those of any process.

lost_neighbours (platform): 503 before, 200 now. load_digests (yucca-lane) plays the table and a service to silence with nothing but time; the table did not exist before.

--- a/crates/yucca-fleet/src/entry/gossip.rs
+++ b/crates/yucca-fleet/src/entry/gossip.rs
@@ -5,9 +5,10 @@
 use std::sync;
 use std::time;
 
-use indexmap::{IndexMap, IndexSet};
+use indexmap::IndexSet;
+use rand::Rng;
 use tokio::net::UdpSocket;
-use yucca_lane::shared::{cell, target};
+use yucca_lane::shared::{cell, digest, target};
 use yucca_own::site::target as site;
 
 use crate::entry::Core;
@@ -19,13 +20,7 @@
 /// Maximum number of datagrams that a host sends in a second. Each costs about 20 us at either end.
 const MAX_RATE: f64 = 120.0;
 
-/// Time in which received digests are gathered before the dispatcher gets them.
-const GATHER_TIME: time::Duration = time::Duration::from_millis(20);
-
-/// Time after which a digest of another host expires.
-const EXPIRY: time::Duration = time::Duration::from_millis(1_000);
-
-/// Number of times that an unchanged load is sent within [`EXPIRY`], as datagrams get lost.
+/// Number of times that an unchanged load is sent within [`digest::EXPIRY`], as datagrams get lost.
 const SENDS_BEFORE_EXPIRY: u32 = 3;
 
 /// Maximum size of a received datagram.
@@ -72,29 +67,17 @@
     }
 }
 
-/// Latest digest of another host.
-struct Digest {
-    sequence: u64,
-    at: time::Duration,
-    loads: Vec<(site::Number, u32)>,
-}
-
 /// Sends and receives load digests until the process ends.
 pub async fn run(core: sync::Arc<Core>, socket: UdpSocket) {
-    let mut digests: IndexMap<net::IpAddr, Digest> = IndexMap::new();
+    let mut digests = digest::Table::default();
     let mut buffer = vec![0; MAX_BYTES];
     let mut interval = tokio::time::interval(CHECK_INTERVAL);
     interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut sender = Sender::default();
-    let mut apply_at: Option<tokio::time::Instant> = None;
+    let mut sender = Sender::new();
     loop {
-        let due = apply_at;
         tokio::select! {
             _ = interval.tick() => sender.send(&core, &socket),
-            () = wait(due) => {
-                apply_at = None;
-                apply(&core, &mut digests);
-            }
+            () = core.clock.sleep_until(Some(digests.next_apply())) => apply(&core, &mut digests),
             received = socket.recv(&mut buffer) => {
                 let length = match received {
                     Ok(length) => length,
@@ -104,11 +87,7 @@
                     }
                 };
                 match rmp_serde::from_slice::<message::Load>(&buffer[..length]) {
-                    Ok(load) => {
-                        if receive(&core, &mut digests, load) && apply_at.is_none() {
-                            apply_at = Some(tokio::time::Instant::now() + GATHER_TIME);
-                        }
-                    }
+                    Ok(load) => receive(&core, &mut digests, load),
                     Err(error) => log::warn!("load digest unreadable: {error}"),
                 }
             }
@@ -116,23 +95,23 @@
     }
 }
 
-async fn wait(until: Option<tokio::time::Instant>) {
-    match until {
-        Some(until) => tokio::time::sleep_until(until).await,
-        None => std::future::pending().await,
-    }
-}
-
 /// Sender of this host's load to the other hosts of its group. Traffic between domains is expensive,
 /// and each datagram costs processor time, so the load of further hosts is extrapolated instead.
-#[derive(Default)]
 struct Sender {
-    sequence: u64,
+    sequence: digest::Sequence,
     sent: Vec<(site::Number, u32)>,
     sent_at: time::Duration,
 }
 
 impl Sender {
+    fn new() -> Self {
+        Self {
+            sequence: digest::Sequence::first(rand::rng().random()),
+            sent: Vec::new(),
+            sent_at: time::Duration::ZERO,
+        }
+    }
+
     fn send(&mut self, core: &Core, socket: &UdpSocket) {
         let now = core.clock.now();
         let peers = core.peers.load();
@@ -141,15 +120,15 @@
             return;
         }
         let loads = core.dispatcher.loads();
-        let again = !loads.is_empty() && now > self.sent_at + EXPIRY / SENDS_BEFORE_EXPIRY;
+        let again = !loads.is_empty() && now > self.sent_at + digest::EXPIRY / SENDS_BEFORE_EXPIRY;
         if loads == self.sent && !again {
             return;
         }
-        self.sequence += 1;
+        self.sequence = self.sequence.next();
         self.sent_at = now;
         let measurements = core.dispatcher.take_unshared().into_iter();
         let load = message::Load {
-            sequence: self.sequence,
+            sequence: self.sequence.0,
             ip: core.settings.ip,
             loads,
             times: measurements
@@ -173,43 +152,25 @@
     }
 }
 
-/// Stores a received digest. Returns false if one with the same or a higher sequence number was
-/// received within [`EXPIRY`]; a process that restarts begins with low numbers again.
-fn receive(core: &Core, digests: &mut IndexMap<net::IpAddr, Digest>, load: message::Load) -> bool {
-    let now = core.clock.now();
-    let outdated = digests
-        .get(&load.ip)
-        .is_some_and(|known| known.sequence >= load.sequence && now < known.at + EXPIRY);
-    if !outdated {
-        for (number, count, micros) in load.times {
-            let measurement = target::Measurement {
-                count,
-                time: time::Duration::from_micros(micros),
-            };
-            core.dispatcher.add_measurement(number, measurement);
-        }
-        digests.insert(
-            load.ip,
-            Digest {
-                sequence: load.sequence,
-                at: now,
-                loads: load.loads,
-            },
-        );
+/// Stores a received digest, unless it is outdated.
+fn receive(core: &Core, digests: &mut digest::Table, load: message::Load) {
+    let sequence = digest::Sequence(load.sequence);
+    if !digests.insert(load.ip, sequence, load.loads, core.clock.now()) {
+        return;
+    }
+    for (number, count, micros) in load.times {
+        let measurement = target::Measurement {
+            count,
+            time: time::Duration::from_micros(micros),
+        };
+        core.dispatcher.add_measurement(number, measurement);
     }
-    !outdated
 }
 
 /// Gives the loads of the other hosts to the dispatcher.
-fn apply(core: &Core, digests: &mut IndexMap<net::IpAddr, Digest>) {
+fn apply(core: &Core, digests: &mut digest::Table) {
     let now = core.clock.now();
-    digests.retain(|_, known| now < known.at + EXPIRY);
-    let mut others: IndexMap<site::Number, u32> = IndexMap::new();
-    for known in digests.values() {
-        for (number, load) in &known.loads {
-            *others.entry(*number).or_default() += load;
-        }
-    }
+    let others = digests.apply(now);
     let peers = core.peers.load();
     core.dispatcher.set_cell(peers.cell);
     core.dispatcher.set_others(&others, peers.outside(), now);
--- a/crates/yucca-fleet/src/mesh/message.rs
+++ b/crates/yucca-fleet/src/mesh/message.rs
@@ -145,7 +145,8 @@
 /// Load digest: the open requests of one entry host at targets, sent as a datagram.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// Sequence number, which increases with each datagram of a process.
+    /// Sequence number, which increases with each datagram of a process; see
+    /// [`yucca_lane::shared::digest::Sequence`].
     pub sequence: u64,
     /// The IP address of the entry host.
     pub ip: net::IpAddr,
--- a/crates/yucca-lane/src/shared.rs
+++ b/crates/yucca-lane/src/shared.rs
@@ -5,6 +5,7 @@
 //! decisions. A [`service::Service`] takes events and the time, and returns [`service::Decision`]s.
 
 pub mod cell;
+pub mod digest;
 pub mod limit;
 pub mod quarantine;
 pub mod service;
