Keep other entry hosts known while no control host is connected

A target that states a limit got more than that while all control hosts were lost: 118 requests in 4 s where 65 are allowed (a_limit_holds_without_control_hosts, four entry hosts in its domain). Each host also stopped to tell its group its load.

Cause: an entry host forgot all others at once when its last connection to a control host ended, and so took itself for the only host of its domain, with the domain's whole share. Only the number of all hosts had a memory.

Other entry hosts now stay known until a control host names others, and the number of those in the domain keeps its greatest value of the last minute, because control hosts that have just started name them one after the other.

--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -77,6 +77,8 @@
     seeds: watch::Sender<Vec<net::IpAddr>>,
     /// Greatest recent number of known entry hosts, this one included.
     host_peak: sync::Mutex<peak::Peak>,
+    /// The same for the hosts in this host's domain.
+    near_peak: sync::Mutex<peak::Peak>,
     /// Random number from 0 to 1, see [`service::Hosts::phase`].
     phase: f64,
     /// The other entry hosts.
@@ -141,6 +143,7 @@
             synced: watch::Sender::new(false),
             stopping: watch::Sender::new(None),
             host_peak: sync::Mutex::default(),
+            near_peak: sync::Mutex::default(),
             phase: rand::rng().random(),
             peers: ArcSwap::default(),
             quarantine,
--- a/crates/yucca-fleet/src/entry/follow.rs
+++ b/crates/yucca-fleet/src/entry/follow.rs
@@ -360,16 +360,25 @@
         }
     }
 
-    /// Updates the known entry hosts from those that the connected control hosts name.
+    /// Updates the known entry hosts from those that the connected control hosts name. While none is
+    /// connected, or none has named any, they stay as they are.
+    ///
+    /// Load pattern: all control hosts are lost at the same moment. The entry hosts go on sending to
+    /// the same targets.
     fn update_peers(&self) {
         let own = self.core.settings.ip;
         let controls = self.links.values();
         let near = controls.clone().flat_map(|control| &control.hosts.near);
         let near: IndexSet<net::IpAddr> = near.filter(|ip| **ip != own).copied().collect();
         let entries = controls.map(|control| control.hosts.entries).max();
-        let far = entries.unwrap_or(0).saturating_sub(near.len() + 1);
+        let Some(entries) = entries.filter(|entries| *entries > 0) else {
+            return;
+        };
+        let far = entries.saturating_sub(near.len() + 1);
         let peers = gossip::Peers::new(own, near, far);
-        lock(&self.core.host_peak).record(peers.count() + 1, self.core.clock.now());
+        let now = self.core.clock.now();
+        lock(&self.core.host_peak).record(peers.count() + 1, now);
+        lock(&self.core.near_peak).record(peers.near.len() + 1, now);
         if peers != **self.core.peers.load() {
             self.core.peers.store(sync::Arc::new(peers));
         }
--- a/crates/yucca-fleet/src/entry/peak.rs
+++ b/crates/yucca-fleet/src/entry/peak.rs
@@ -5,8 +5,9 @@
 /// Time that a value counts while only smaller ones follow.
 const RETENTION: time::Duration = time::Duration::from_secs(60);
 
-/// Greatest recent value. An entry host that loses its connections knows of few other hosts,
-/// although they still use their shares of the retry budget.
+/// Greatest recent value. An entry host that connects to control hosts which have just started learns
+/// of the other entry hosts one after the other, although they all use their shares of a budget or
+/// limit.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Peak {
     value: usize,
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -553,7 +553,7 @@
         let now = self.clock.now();
         let peers = self.peers.load();
         let hosts = service::Hosts {
-            near: peers.near.len() + 1,
+            near: lock(&self.near_peak).record(peers.near.len() + 1, now),
             all: lock(&self.host_peak).record(peers.count() + 1, now),
             phase: self.phase,
         };
