Close idle connections to targets when their time has passed

An idle connection to a target ended only when the next request for the same address looked at it. Connections to targets that were cut off or had lost power stayed open for good, eight each, as did the entries of addresses that are no longer in use.

The pool closes them once a second, and drops addresses without connections.

an_idle_connection_ends_without_another_request failed before: not closed 5 s after an answer that stated 2 s.

--- a/crates/yucca-fleet/src/entry.rs
+++ b/crates/yucca-fleet/src/entry.rs
@@ -154,6 +154,8 @@
         tasks.spawn(gossip::run(core.clone(), digests));
         let dispatcher = core.dispatcher.clone();
         tasks.spawn(async move { dispatcher.run().await });
+        let shared = core.clone();
+        tasks.spawn(async move { shared.pool.close_idle().await });
         let handler = sync::Arc::new(request::Handler(core.clone()));
         Ok(Self {
             _health: server::Running::start(health, sync::Arc::new(Health(core.clone()))),
--- a/crates/yucca-fleet/src/entry/pool.rs
+++ b/crates/yucca-fleet/src/entry/pool.rs
@@ -25,6 +25,9 @@
 /// may be about to close it.
 const IDLE_TIME_MARGIN: time::Duration = time::Duration::from_millis(700);
 
+/// Interval between checks for connections whose idle time has passed.
+const SWEEP_INTERVAL: time::Duration = time::Duration::from_secs(1);
+
 /// Maximum number of idle connections to one target.
 const MAX_IDLE: usize = 8;
 
@@ -64,6 +67,12 @@
     until: Instant,
 }
 
+impl Idle {
+    fn is_usable(&self, now: Instant) -> bool {
+        self.until > now && !self.connection.sender.is_closed()
+    }
+}
+
 /// Idle connections by address.
 #[derive(Default)]
 pub struct Pool {
@@ -71,6 +80,22 @@
 }
 
 impl Pool {
+    /// Closes connections whose idle time has passed, until the process ends.
+    ///
+    /// Load pattern: targets end or are cut off, and no request comes for their addresses any more.
+    pub async fn close_idle(&self) {
+        let mut interval = tokio::time::interval(SWEEP_INTERVAL);
+        interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+        loop {
+            interval.tick().await;
+            let now = Instant::now();
+            lock(&self.idle).retain(|_, connections| {
+                connections.retain(|idle| idle.is_usable(now));
+                !connections.is_empty()
+            });
+        }
+    }
+
     /// Returns an idle connection for the request `id` that was last used at most `within` ago, if
     /// there is one.
     pub async fn take(
@@ -97,7 +122,7 @@
         let mut idle = lock(&self.idle);
         let connections = idle.get_mut(&address)?;
         let now = Instant::now();
-        connections.retain(|idle| idle.until > now && !idle.connection.sender.is_closed());
+        connections.retain(|idle| idle.is_usable(now));
         let usable = |idle: &Idle| !idle.connection.refused.contains(id);
         let last = connections.iter().rposition(usable)?;
         if now.duration_since(connections[last].since) > within {
