Remove requests to the leader when their wait ends

A control host that asks the leader on behalf of a target kept the request in its table for good if the target closed its connection before the leader had answered, and the leader never did: the code after the wait was not reached.

The entry is removed when the wait is dropped, for whatever reason. Found by reading, next to load digests that never expired; no test shows it, since the table is not visible from outside and no caller of it leaves before its timeout of 0.7 s in the tests.

--- a/crates/yucca-fleet/src/control/leader.rs
+++ b/crates/yucca-fleet/src/control/leader.rs
@@ -27,6 +27,42 @@
     open: sync::Mutex<IndexMap<u64, oneshot::Sender<Reply>>>,
 }
 
+/// A request that waits for an answer of the leader. Dropping it ends the wait.
+pub struct Pending<'a> {
+    requests: &'a PendingRequests,
+    id: u64,
+    receiver: oneshot::Receiver<Reply>,
+}
+
+impl PendingRequests {
+    /// Opens a request.
+    pub fn open(&self) -> Pending<'_> {
+        let id = self.next_id.fetch_add(1, atomic::Ordering::Relaxed);
+        let (sender, receiver) = oneshot::channel();
+        lock(&self.open).insert(id, sender);
+        Pending {
+            requests: self,
+            id,
+            receiver,
+        }
+    }
+
+    /// Passes an answer to the request that waits for it, if it still does.
+    fn answer(&self, id: u64, reply: Reply) {
+        let sender = lock(&self.open).swap_remove(&id);
+        if let Some(sender) = sender {
+            // The request may have timed out.
+            sender.send(reply).ok();
+        }
+    }
+}
+
+impl Drop for Pending<'_> {
+    fn drop(&mut self) {
+        lock(&self.requests.open).swap_remove(&self.id);
+    }
+}
+
 impl Core {
     /// Sends a request to the leader and waits for the answer.
     pub(super) async fn request_from_leader(&self, request: message::LeaderRequest) -> Reply {
@@ -34,22 +70,13 @@
         let Some(leader) = status.leader.filter(|_| !status.leads) else {
             return Err(message::Refusal::NotLeader);
         };
-        let request_id = self
-            .leader_requests
-            .next_id
-            .fetch_add(1, atomic::Ordering::Relaxed);
-        let (sender, receiver) = oneshot::channel();
-        lock(&self.leader_requests.open).insert(request_id, sender);
-        let request = Box::new(request);
-        self.transport.send_message(
-            &leader,
-            message::Message::LeaderRequest {
-                request_id,
-                request,
-            },
-        );
-        let reply = tokio::time::timeout(LEADER_TIMEOUT, receiver).await;
-        lock(&self.leader_requests.open).swap_remove(&request_id);
+        let mut pending = self.leader_requests.open();
+        let request = message::Message::LeaderRequest {
+            request_id: pending.id,
+            request: Box::new(request),
+        };
+        self.transport.send_message(&leader, request);
+        let reply = tokio::time::timeout(LEADER_TIMEOUT, &mut pending.receiver).await;
         match reply {
             Ok(Ok(reply)) => reply,
             Ok(Err(_)) | Err(_) => {
@@ -76,11 +103,7 @@
 
     /// Passes an answer of the leader to the waiting request.
     pub(super) fn handle_leader_reply(&self, request_id: u64, reply: Reply) {
-        let sender = lock(&self.leader_requests.open).swap_remove(&request_id);
-        if let Some(sender) = sender {
-            // The request may have timed out.
-            sender.send(reply).ok();
-        }
+        self.leader_requests.answer(request_id, reply);
     }
 
     /// Tells the leader at each announcement interval which targets were heard from.
