Pass on no answer whose status is not one of a final answer

Callers got signed answers with status 600 to 999 as they were, and a final 101 without its body; with the mark of a refusal, both were taken for a request that had not run. The lanes passed on 600 to 999 as well.

Cause: the HTTP library takes 100 to 999 for a status and 101 for a final one, and nothing else asked. Statuses below 100, or with fewer or more than three digits, were refused by the library and are answered 502, as before.

An answer whose status is not 200 to 599 is now treated like one that can't be trusted: it may have run, the connection is closed, the caller gets 502 unless the request may be sent again. A lane takes it for lost, and an entry process passes no such status on from a lane of an older version.

--- a/crates/yucca-dev/src/target/answer.rs
+++ b/crates/yucca-dev/src/target/answer.rs
@@ -35,6 +35,9 @@
 /// Header with the service time in microseconds; it replaces the drawn service time.
 const WORK_HEADER: &str = "x-work-us";
 
+/// Header with the status of the answer, in place of 200. It may be invalid, such as 600.
+const STATUS_HEADER: &str = "x-status";
+
 type Request = http::Request<body::Incoming>;
 type Answer = http::Response<Full<Bytes>>;
 
@@ -217,6 +220,10 @@
 
 fn echo(shared: &Shared, request: &http::Request<()>, count: u32, body: Bytes) -> Answer {
     let mut answer = Answer::new(Full::new(body));
+    let status = header(request, STATUS_HEADER).and_then(|text| text.parse().ok());
+    if let Some(status) = status {
+        *answer.status_mut() = status;
+    }
     let headers = answer.headers_mut();
     headers.insert("x-run", count.into());
     if let Ok(name) = http::HeaderValue::from_str(shared.settings.name.as_str()) {
--- a/crates/yucca-dev/tests/target_faults.rs
+++ b/crates/yucca-dev/tests/target_faults.rs
@@ -6,6 +6,8 @@
 mod support;
 
 use fixture::{Fixture, send, until_moved, until_served};
+use support::{Client, request};
+use test_case::test_case;
 use yucca_dev::cluster::fault::Fault;
 use yucca_wire::announce;
 
@@ -83,3 +85,24 @@
         assert_ne!(seen.target.as_ref(), Some(&owner), "{path}");
     }
 }
+
+/// Guards against an answer with an invalid status that reaches the caller as an answer.
+#[test_case("GET", "600")]
+#[test_case("GET", "999")]
+#[test_case("POST", "600")]
+#[test_case("POST", "999")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn an_invalid_status_reaches_no_caller(method: &str, status: &str) {
+    let fixture = Fixture::small(2).await;
+    let (path, _) = fixture.key_in("colombo").await;
+    let entry = fixture.entry("colombo").await;
+    until_served(entry, method, &path, "before").await;
+    let headers = [("x-work-us", "0"), ("x-echo", "e1"), ("x-status", status)];
+    let answer = Client::exchange(entry, request(method, &path, &headers)).await;
+    let answer = answer.unwrap();
+    assert_eq!(answer.status(), 502, "{answer:?}");
+    assert_eq!(answer.headers()["yucca-outcome"], "unknown");
+    let runs = fixture.cluster.journal().runs("e1").len();
+    assert!(runs >= 1 && (method == "GET" || runs == 1), "{runs} runs");
+    until_served(entry, method, &path, "after").await;
+}
--- a/crates/yucca-entry/src/process/lanes/attempt.rs
+++ b/crates/yucca-entry/src/process/lanes/attempt.rs
@@ -181,6 +181,14 @@
         Ok(Err(failure)) => return guard.end(Err(failure), None, true),
         Err(_) => return guard.end(Err(request::Failure::Timeout), None, true),
     };
+    if !head::is_final_status(response.status().as_u16()) {
+        log::info!(
+            "request={} answered with an invalid status, {}",
+            sending.id,
+            response.status()
+        );
+        return guard.end(Err(request::Failure::Lost), None, true);
+    }
     if let Some(failure) = refusal(&response) {
         // Close the connection without reading the body: refusals are rare.
         drop(connection);
--- a/crates/yucca-entry/src/request/answer.rs
+++ b/crates/yucca-entry/src/request/answer.rs
@@ -42,8 +42,9 @@
     stream: body::Stream,
 ) -> http::Response<body::Stream> {
     let mut response = http::Response::new(stream);
-    *response.status_mut() =
-        http::StatusCode::from_u16(status).unwrap_or(http::StatusCode::BAD_GATEWAY);
+    // The lane may be a process of an older version, which passes invalid ones on.
+    let status = head::is_final_status(status).then(|| http::StatusCode::from_u16(status).ok());
+    *response.status_mut() = status.flatten().unwrap_or(http::StatusCode::BAD_GATEWAY);
     fields::extend(response.headers_mut(), headers);
     response
 }
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -13,6 +13,7 @@
 use tokio::sync::watch;
 use yucca_lane::shared::{limit, quarantine, service};
 use yucca_own::site::{item, range, target as site};
+use yucca_wire::head;
 
 use crate::body;
 use crate::dialect::{caller, target};
@@ -481,9 +482,19 @@
                     connection,
                 } = *answer;
                 history.sent += 1;
-                let verdict = self.target.classify(&parts, &job.head.id, &target.name);
+                let valid = head::is_final_status(parts.status.as_u16());
+                let verdict = if valid {
+                    self.target.classify(&parts, &job.head.id, &target.name)
+                } else {
+                    target::Verdict::Untrusted
+                };
                 self.keep(connection, verdict, &job.head.id);
-                history.record(&target.name, history::describe(verdict));
+                if valid {
+                    history.record(&target.name, history::describe(verdict));
+                } else {
+                    let status = parts.status.as_u16();
+                    history.record(&target.name, &format!("invalid status {status}"));
+                }
                 let took = self.clock.now().saturating_sub(start);
                 self.record_limit(job, number, &target.name, &parts, verdict);
                 self.record_leaving(job, number, &target.name, &parts, verdict);
--- a/crates/yucca-wire/src/head.rs
+++ b/crates/yucca-wire/src/head.rs
@@ -74,6 +74,12 @@
     Refused(problem::Problem),
 }
 
+/// Returns whether an HTTP status is one of a final answer. HTTP libraries also take others for the
+/// status of an answer: 600 to 999, and 101 for a request that asked for no other protocol.
+pub const fn is_final_status(status: u16) -> bool {
+    matches!(status, 200..=599)
+}
+
 /// Load of a lane.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 pub struct Load {
