Answer a write that ran with no status that promises the opposite

A target that answers a request that must not run twice with a signed 408, 429 or 503 has run it, unless it says otherwise. The caller got that status unchanged, takes it for a promise that the request has not run, and sends it again.

Cause: the status of a target was passed on without asking what it means to the caller, while this process's own refusals keep to that meaning.

The dialect of callers now says which statuses are such promises, and a non-idempotent request that may have run is answered 502 in their place. Requests that may be repeated get the answer unchanged.

--- a/crates/yucca-fleet/src/dialect/caller.rs
+++ b/crates/yucca-fleet/src/dialect/caller.rs
@@ -3,7 +3,7 @@
 use std::time;
 
 use bytes::Bytes;
-use http::{request, response};
+use http::{StatusCode, request, response};
 
 /// Head of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -45,6 +45,10 @@
     /// Fails if the head can't be decoded.
     fn head(&self, parts: &request::Parts) -> Result<Head, Refusal>;
 
+    /// Returns whether callers take a status for a promise that the request has not run and will not
+    /// run, so that they may send it again.
+    fn promises_not_run(&self, status: StatusCode) -> bool;
+
     /// Returns the answer to a request that this process refuses. `id` is `None` if the head could
     /// not be decoded.
     fn refuse(&self, id: Option<&Bytes>, refusal: Refusal) -> response::Response<Bytes>;
--- a/crates/yucca-fleet/src/entry/request.rs
+++ b/crates/yucca-fleet/src/entry/request.rs
@@ -346,6 +346,8 @@
         }
     }
 
+    /// Waits until the request can be sent or is refused. Returns `None` if neither is decided by the
+    /// time at which the caller must get an answer.
     async fn decide(
         self: &sync::Arc<Self>,
         job: &Job,
@@ -506,6 +508,18 @@
                     self.quarantine.clear(|| job.digest(), self.clock.now());
                 }
                 match verdict {
+                    target::Verdict::Answer | target::Verdict::Failure
+                        if !job.route.route.idempotent
+                            && self.caller.promises_not_run(parts.status) =>
+                    {
+                        log::info!(
+                            "request={:?} target={} ran, but answered with {}; callers get an unknown outcome",
+                            job.head.id,
+                            target.name,
+                            parts.status.as_u16()
+                        );
+                        Attempt::Unknown
+                    }
                     target::Verdict::Answer => Attempt::Answer(inbound(parts, body)),
                     target::Verdict::Failure => Attempt::Failure(inbound(parts, body)),
                     target::Verdict::Shed
